--- /dev/null
+++ b/src/app/Main.cpp
@@ -0,0 +1,5 @@
+#include "app/CommandLine.h"
+
+int main(int Argc, char **Argv) {
+  return crocuslead::app::runCommandLine(Argc, Argv);
+}
--- /dev/null
+++ b/src/base/Log.cpp
@@ -0,0 +1,100 @@
+#include "base/Log.h"
+
+#include <chrono>
+#include <cstdio>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <memory>
+
+namespace crocuslead::base {
+
+namespace {
+
+std::string &instanceName() {
+  static std::string Name;
+  return Name;
+}
+
+log4cplus::Logger &rootLogger() {
+  static log4cplus::Initializer Init;
+  static log4cplus::Logger Root = log4cplus::Logger::getRoot();
+  return Root;
+}
+
+constexpr log4cplus::LogLevel Levels[] = {
+    log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
+    log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
+constexpr std::string_view LevelNames[] = {"debug", "info", "warn", "error"};
+
+struct ValueWriter {
+  std::string &Out_;
+  void operator()(int64_t Value) const { Out_ += std::to_string(Value); }
+  void operator()(double Value) const {
+    char Buffer[32];
+    std::snprintf(Buffer, sizeof(Buffer), "%.6g", Value);
+    Out_ += Buffer;
+  }
+  void operator()(bool Value) const { Out_ += Value ? "true" : "false"; }
+  void operator()(const std::string &Value) const { Out_ += jsonQuote(Value); }
+};
+
+int64_t unixMillis() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Since).count();
+}
+
+} // namespace
+
+std::string jsonQuote(std::string_view Text) {
+  std::string Out = "\"";
+  for (char C : Text) {
+    auto Byte = static_cast<unsigned char>(C);
+    if (C == '"' || C == '\\') {
+      Out += '\\';
+      Out += C;
+    } else if (Byte < 0x20) {
+      char Buffer[8];
+      std::snprintf(Buffer, sizeof(Buffer), "\\u%04x",
+                    static_cast<unsigned>(Byte));
+      Out += Buffer;
+    } else {
+      Out += C;
+    }
+  }
+  return Out + '"';
+}
+
+void configureLog(LogLevel Threshold, std::string Instance) {
+  instanceName() = std::move(Instance);
+  log4cplus::Logger &Root = rootLogger();
+  Root.removeAllAppenders();
+  log4cplus::SharedAppenderPtr Console(new log4cplus::ConsoleAppender(
+      /*logToStdErr=*/true, /*immediateFlush=*/true));
+  Console->setLayout(
+      std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+  Root.addAppender(Console);
+  Root.setLogLevel(Levels[static_cast<int>(Threshold)]);
+}
+
+void logEvent(LogLevel Level, std::string_view Event,
+              std::initializer_list<LogField> Fields) {
+  log4cplus::Logger &Root = rootLogger();
+  log4cplus::LogLevel Target = Levels[static_cast<int>(Level)];
+  if (!Root.isEnabledFor(Target))
+    return;
+  std::string Line =
+      "{\"ts_ms\":" + std::to_string(unixMillis()) + ",\"level\":";
+  Line += jsonQuote(LevelNames[static_cast<int>(Level)]);
+  Line += ",\"instance\":" + jsonQuote(instanceName()) +
+          ",\"event\":" + jsonQuote(Event);
+  for (const LogField &Field : Fields) {
+    Line += "," + jsonQuote(Field.Name_) + ":";
+    std::visit(ValueWriter{Line}, Field.Value_);
+  }
+  Line += "}";
+  Root.log(Target, Line);
+}
+
+} // namespace crocuslead::base
--- /dev/null
+++ b/src/config/ConfigState.cpp
@@ -0,0 +1,1 @@
+#include "config/ConfigState.h"
--- /dev/null
+++ b/src/http/Server.cpp
@@ -0,0 +1,1 @@
+#include "http/Server.h"
--- /dev/null
+++ b/src/link/Messages.cpp
@@ -0,0 +1,1 @@
+#include "link/Messages.h"
--- /dev/null
+++ b/src/member/Membership.cpp
@@ -0,0 +1,1 @@
+#include "member/Membership.h"
--- /dev/null
+++ b/src/member/Membership.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "link/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocuslead::member {
+
+struct PeerInfo {
+  std::string Id_;
+  std::string Region_;
+};
+
+struct PeerView {
+  std::string Id_;
+  std::string Region_;
+  std::string Incarnation_;
+  bool Alive_ = false;
+  bool Draining_ = false;
+  int64_t ConfigRevision_ = 0;
+  int64_t StoreContactAgeMs_ = 0;
+  uint32_t SlotDemand_ = 0;
+};
+
+struct MembershipTimes {
+  base::Duration PingInterval_ = std::chrono::seconds(2);
+  //! Silence after which a peer no longer counts as alive.
+  base::Duration SuspectAfter_ = std::chrono::seconds(6);
+  //! A pong counts as evidence of a peer's store loss for this long after its
+  //! ping was sent.
+  base::Duration OutageEvidence_ = std::chrono::seconds(2);
+};
+
+//! Which other instances are alive, and what they say of the store and the
+//! configuration. Cost grows with instances, not with workers or requests: one
+//! ping and one pong for each pair and interval.
+class Membership {
+public:
+  Membership(std::string Self, std::vector<PeerInfo> Peers,
+             MembershipTimes Times = {});
+
+  //! What this instance says of itself in the next pings and pongs.
+  void setOwnState(int64_t ConfigRevision, int64_t StoreContactAgeMs,
+                   bool Draining, uint32_t SlotDemand);
+
+  void peerConnected(const std::string &Peer, bool Connected,
+                     base::TimePoint Now);
+  void received(const std::string &Peer, const std::string &Incarnation,
+                const link::Ping &Message, base::TimePoint Now);
+  void received(const std::string &Peer, const std::string &Incarnation,
+                const link::Pong &Message, base::TimePoint Now);
+
+  //! Messages to send now: (peer, message).
+  std::vector<std::pair<std::string, link::Message>> tick(base::TimePoint Now);
+
+  std::vector<PeerView> peers(base::TimePoint Now) const;
+  bool isAlive(const std::string &Peer, base::TimePoint Now) const;
+  //! True when every configured peer answered a recent ping that it has no
+  //! store contact either. LossAgeMs is the age from which a peer counts as
+  //! without contact.
+  bool storeLostEverywhere(base::TimePoint Now, int64_t LossAgeMs) const;
+  //! A peer with a newer configuration to pull from, or empty.
+  std::string newerConfigPeer(int64_t OwnRevision, base::TimePoint Now) const;
+
+private:
+  struct Peer {
+    PeerView View_;
+    base::TimePoint LastHeard_;
+    base::TimePoint LastPing_;
+    bool Connected_ = false;
+    bool Heard_ = false;
+    std::map<uint64_t, base::TimePoint> PingsInFlight_;
+    //! Send time of the newest answered ping, and the store contact age in its
+    //! pong.
+    base::TimePoint EvidenceSentAt_;
+    int64_t EvidenceAgeMs_ = 0;
+    bool HasEvidence_ = false;
+  };
+
+  link::Ping ownPing(uint64_t Sequence) const;
+
+  std::string Self_;
+  MembershipTimes Times_;
+  std::map<std::string, Peer> Peers_;
+  link::Ping Own_;
+  uint64_t NextSequence_ = 1;
+};
+
+} // namespace crocuslead::member
--- /dev/null
+++ b/src/partition/Partition.cpp
@@ -0,0 +1,1 @@
+#include "partition/Partition.h"
--- /dev/null
+++ b/src/platform/InstanceList.cpp
@@ -0,0 +1,1 @@
+#include "platform/InstanceList.h"
--- /dev/null
+++ b/src/platform/WorkerGateway.cpp
@@ -0,0 +1,1 @@
+#include "platform/WorkerGateway.h"
--- /dev/null
+++ b/src/route/Router.cpp
@@ -0,0 +1,1 @@
+#include "route/Router.h"
--- /dev/null
+++ b/src/schedule/Planner.cpp
@@ -0,0 +1,1 @@
+#include "schedule/Planner.h"
--- /dev/null
+++ b/standins/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
