Add the frame of the measuring program

Cause: each area needs a place for its figures. Conclusion: areas can add figures without touching each other's files.

--- /dev/null
+++ b/bench/FleetFigures.cpp
@@ -0,0 +1,7 @@
+#include "Figures.h"
+
+namespace crocuslead::bench {
+
+void fleetFigures() {}
+
+} // namespace crocuslead::bench
--- /dev/null
+++ b/bench/ScheduleFigures.cpp
@@ -0,0 +1,7 @@
+#include "Figures.h"
+
+namespace crocuslead::bench {
+
+void scheduleFigures() {}
+
+} // namespace crocuslead::bench
