--- a/src/route/ClaimTable.h
+++ b/src/route/ClaimTable.h
@@ -14,7 +14,9 @@
 
 namespace crocuslead::route {
 
-//! Issue time in a request key (a UUIDv7); none when Key is not a UUIDv7.
+//! Issue time in a request key (a UUIDv7 in lower case); none when Key is not
+//! one. Upper case is refused because the same key in two spellings would have
+//! two homes and could run twice.
 std::optional<base::WallTime> keyIssueTime(const std::string &Key);
 
 //! What a claim on a request key came to.
@@ -40,6 +42,10 @@
   ClaimVerdict Verdict_ = ClaimVerdict::Unknown;
   //! Instance that executed or executes the request.
   std::string Executor_;
+  //! What is known about the effect of the request when it is not granted.
+  //! BadIssueTime gives Unknown: the key may have run more than a day ago, or
+  //! may be granted to a duplicate when its issue time has come.
+  base::Outcome Outcome_ = base::Outcome::Unknown;
 };
 
 //! How a claimed request ended.
@@ -60,6 +66,7 @@
   static constexpr std::size_t MaxEntries = 200'000;
 
   //! EpochStart is the wall time at which the ownership was confirmed to begin.
+  //! The clocks of successive owners must agree to 1 s.
   explicit ClaimTable(base::WallTime EpochStart,
                       std::size_t Capacity = MaxEntries);
 
@@ -76,14 +83,20 @@
   //! Unknown.
   std::vector<ClaimEntry> handOver();
   //! Takes over the table of the former epoch: keys issued since FormerStart
-  //! are known.
+  //! are known. No other epoch may lie between the two. FormerStart is the
+  //! knownSince() of the former table.
   void takeOver(std::vector<ClaimEntry> Entries, base::WallTime FormerStart);
 
   base::WallTime knownSince() const { return KnownSince_; }
   std::size_t size() const { return Entries_.size(); }
 
 private:
+  void insert(ClaimEntry Entry);
+  void dropOldest();
+
   base::WallTime KnownSince_;
+  //! Keys issued before this may have been dropped from a full table.
+  base::WallTime ForgottenBefore_{};
   std::size_t Capacity_;
   bool HandedOver_ = false;
   std::unordered_map<std::string, ClaimEntry> Entries_;
