Place by an index of free capacity and evict by shares

Cause: first fit scans all workers, knows no shares, gangs, evictions, interference, quarantine or refill limits. Change: a grid of logarithmic buckets holds the workers by usable capacity; waiting tasks are kept by shape, and a shape that found no room is tried again only after capacity that it could use came free. Urgent work goes first; then the workspace with the lowest use of its agreed share, weighted by priority. Evictions reserve the room they make, so that none is issued twice for the same task. Workers that fail every start are quarantined; domains that return refill over 2 minutes; interference is learned per ordered pair of kinds and acted on in steps. Two faults found by the tests are fixed here: the end of a refill did not wake the tasks that its last limit had held back, and a worker opened for a probe was offered one plan late.

--- a/src/schedule/Planner.cpp
+++ b/src/schedule/Planner.cpp
@@ -1,142 +1,276 @@
 #include "schedule/Planner.h"
 
-#include <map>
-#include <unordered_map>
+#include "schedule/internal/Evictor.h"
+#include "schedule/internal/Feasibility.h"
+#include "schedule/internal/Starter.h"
+#include "schedule/internal/State.h"
+
+#include <deque>
 #include <utility>
 
 namespace crocuslead::schedule {
 
-namespace {
+using internal::Occupant;
+using internal::Shape;
+using internal::Worker;
+
+class Planner::Impl {
+public:
+  explicit Impl(PlannerPolicy Policy) : State_(Policy) {}
 
-struct WorkerState {
-  WorkerInfo Info_;
-  base::Resources Committed_;
+  void setWorker(const WorkerInfo &Info);
+  void occupy(const RunningTask &Task);
+  void release(TaskNumber Task);
+  void beginPlan(base::TimePoint Now);
+  void reject(std::size_t Limit, std::vector<Decision> &Out);
+  Reason whyPending(const internal::Entry &Waiting);
 
-  base::Resources free() const { return Info_.Capacity_ - Committed_; }
+  internal::State State_;
+  //! Found infeasible, with the nearest request that fits.
+  std::deque<std::pair<TaskNumber, base::Resources>> Rejected_;
+  uint64_t CapacityVersion_ = 0;
 };
 
-} // namespace
+void Planner::Impl::setWorker(const WorkerInfo &Info) {
+  Worker &Target = State_.Fleet_.upsert(Info);
+  if (!State_.Fleet_.usable(Target))
+    State_.dropReservationsOn(Target);
+}
 
-class Planner::Impl {
-public:
-  bool usable(const WorkerState &Worker) const {
-    auto Found = Domains_.find(Worker.Info_.Domain_);
-    return Worker.Info_.Schedulable_ &&
-           (Found == Domains_.end() || Found->second);
+void Planner::Impl::occupy(const RunningTask &Task) {
+  Occupant *Known = State_.Fleet_.task(Task.Task_.Task_);
+  if (Known != nullptr && Known->Worker_->Info_.Worker_ == Task.Worker_ &&
+      Known->Run_.Task_.Request_ == Task.Task_.Request_) {
+    Known->Run_.Started_ = Task.Started_;
+    Known->Run_.CheckpointAt_ = Task.CheckpointAt_;
+    return;
   }
-
-  void occupy(const RunningTask &Task) {
-    release(Task.Task_.Task_);
-    Pending_.erase(Task.Task_.Task_);
-    Workers_[Task.Worker_].Committed_ += Task.Task_.Request_;
-    Running_[Task.Task_.Task_] = Task;
+  if (Known != nullptr)
+    State_.release(*Known);
+  Worker *Target = State_.Fleet_.find(Task.Worker_);
+  if (Target == nullptr) {
+    // After a takeover a task may be known before its worker.
+    WorkerInfo Unknown;
+    Unknown.Worker_ = Task.Worker_;
+    Unknown.Schedulable_ = false;
+    Target = &State_.Fleet_.upsert(Unknown);
   }
+  State_.hold(Task, *Target);
+}
+
+void Planner::Impl::release(TaskNumber Task) {
+  Occupant *Known = State_.Fleet_.task(Task);
+  if (Known != nullptr)
+    State_.release(*Known);
+  auto Held = State_.Held_.find(Task);
+  if (Held == State_.Held_.end())
+    return;
+  State_.Queue_.add(Held->second);
+  State_.Held_.erase(Held);
+}
 
-  void release(TaskNumber Task) {
-    auto Found = Running_.find(Task);
-    if (Found == Running_.end())
-      return;
-    Workers_[Found->second.Worker_].Committed_ -= Found->second.Task_.Request_;
-    Running_.erase(Found);
+void Planner::Impl::beginPlan(base::TimePoint Now) {
+  State_.Now_ = Now;
+  State_.History_.prune(Now);
+  for (WorkerNumber Number : State_.Health_.takeDue(Now)) {
+    Worker *Target = State_.Fleet_.find(Number);
+    if (Target == nullptr || !Target->Quarantined_)
+      continue;
+    Target->ProbeOpen_ = true;
+    State_.Fleet_.refresh(*Target);
   }
+  std::vector<TaskNumber> Expired;
+  for (const auto &[Task, Each] : State_.Reservations_)
+    if (Now >= Each.Expires_)
+      Expired.push_back(Task);
+  for (TaskNumber Task : Expired)
+    State_.unreserve(Task);
+  // Last, so that room opened above wakes waiting tasks in this plan.
+  State_.Fleet_.beginPlan(Now);
+  State_.Shares_.setLocalCapacity(State_.Fleet_.totalCapacity());
+  State_.Shares_.beginPlan();
+}
 
-  //! First worker with room, in order of worker numbers.
-  std::optional<WorkerNumber> firstFit(const base::Resources &Request) const {
-    for (const auto &[Number, Worker] : Workers_)
-      if (usable(Worker) && Request.fitsIn(Worker.free()))
-        return Number;
-    return std::nullopt;
+void Planner::Impl::reject(std::size_t Limit, std::vector<Decision> &Out) {
+  if (CapacityVersion_ != State_.Fleet_.capacityVersion())
+    State_.Queue_.recheckAll();
+  CapacityVersion_ = State_.Fleet_.capacityVersion();
+  for (Shape *Each : State_.Queue_.takeUnchecked()) {
+    if (!Each->complete())
+      continue;
+    auto Nearest = nearestFit(State_.Fleet_, *Each);
+    Each->Infeasible_ = Nearest.has_value();
+    if (!Nearest)
+      continue;
+    for (auto *Waiting = Each->Head_; Waiting != nullptr;
+         Waiting = Waiting->Next_)
+      Rejected_.emplace_back(Waiting->Task_.Task_, *Nearest);
+  }
+  while (Out.size() < Limit && !Rejected_.empty()) {
+    auto [Task, Nearest] = Rejected_.front();
+    Rejected_.pop_front();
+    const internal::Entry *Waiting = State_.Queue_.find(Task);
+    if (Waiting == nullptr || !Waiting->Shape_->Infeasible_)
+      continue;
+    State_.unreserve(Task);
+    State_.Queue_.remove(Task);
+    Out.push_back(
+        {DecisionKind::Reject, Task, 0, Reason::NeverFits, 0, Nearest});
   }
+}
 
-  std::map<WorkerNumber, WorkerState> Workers_;
-  std::map<DomainNumber, bool> Domains_;
-  std::vector<WorkspaceShare> Shares_;
-  std::map<TaskNumber, PendingTask> Pending_;
-  std::unordered_map<TaskNumber, RunningTask> Running_;
-};
+// A rare question from operators, so it may look at every worker.
+Reason Planner::Impl::whyPending(const internal::Entry &Waiting) {
+  const Shape &Of = *Waiting.Shape_;
+  if (!Of.complete())
+    return Reason::GangIncomplete;
+  if (nearestFit(State_.Fleet_, Of))
+    return Reason::NeverFits;
+  bool Quarantined = false;
+  bool DomainOut = false;
+  for (const auto &[Number, Each] : State_.Fleet_.workers()) {
+    if (!Waiting.Task_.Request_.fitsIn(Each.free()))
+      continue;
+    bool Available = State_.Fleet_.domainOf(Each).Available_;
+    Quarantined = Quarantined || (Available && Each.Quarantined_);
+    DomainOut = DomainOut || !Available;
+  }
+  if (Quarantined)
+    return Reason::WorkerSetAside;
+  if (DomainOut)
+    return Reason::DomainUnavailable;
+  internal::Account &Account = State_.Shares_.account(Waiting.Task_.Workspace_);
+  return State_.Shares_.excess(Account) > 0 ? Reason::OverShare
+                                            : Reason::NoRoom;
+}
 
-Planner::Planner(PlannerPolicy /*Policy*/) : Impl_(std::make_unique<Impl>()) {}
+Planner::Planner(PlannerPolicy Policy)
+    : Impl_(std::make_unique<Impl>(Policy)) {}
 Planner::~Planner() = default;
 
-void Planner::upsertWorker(const WorkerInfo &Info) {
-  Impl_->Workers_[Info.Worker_].Info_ = Info;
-}
+void Planner::upsertWorker(const WorkerInfo &Info) { Impl_->setWorker(Info); }
 
-void Planner::removeWorker(WorkerNumber Worker) {
-  Impl_->Workers_.erase(Worker);
+void Planner::removeWorker(WorkerNumber Number) {
+  auto &State = Impl_->State_;
+  Worker *Target = State.Fleet_.find(Number);
+  if (Target == nullptr)
+    return;
+  State.dropReservationsOn(*Target);
+  State.Health_.forget(Number);
+  State.Ladder_.forget(Number);
+  State.Fleet_.remove(Number);
 }
 
 void Planner::setWorkspaces(std::vector<WorkspaceShare> Shares,
-                            const base::Resources & /*FleetCapacity*/) {
-  Impl_->Shares_ = std::move(Shares);
+                            const base::Resources &FleetCapacity) {
+  Impl_->State_.Shares_.configure(std::move(Shares), FleetCapacity);
 }
 
 void Planner::setDomainAvailable(DomainNumber Domain, bool Available) {
-  Impl_->Domains_[Domain] = Available;
+  auto &State = Impl_->State_;
+  State.Fleet_.setDomainAvailable(Domain, Available);
+  if (Available)
+    return;
+  for (auto &[Number, Target] : State.Fleet_.workers())
+    if (Target.Info_.Domain_ == Domain)
+      State.dropReservationsOn(Target);
+}
+
+void Planner::setMonthEnd(std::optional<base::TimePoint> MonthEnd) {
+  Impl_->State_.MonthEnd_ = MonthEnd;
 }
 
 void Planner::addPending(const PendingTask &Task) {
-  Impl_->Pending_[Task.Task_] = Task;
+  auto &State = Impl_->State_;
+  if (State.Fleet_.task(Task.Task_) != nullptr) {
+    State.Held_[Task.Task_] = Task;
+    return;
+  }
+  State.unreserve(Task.Task_);
+  State.Queue_.add(Task);
 }
 
-void Planner::removePending(TaskNumber Task) { Impl_->Pending_.erase(Task); }
+void Planner::removePending(TaskNumber Task) {
+  auto &State = Impl_->State_;
+  State.Held_.erase(Task);
+  State.unreserve(Task);
+  State.Queue_.remove(Task);
+}
 
 void Planner::occupy(const RunningTask &Task) { Impl_->occupy(Task); }
 
 void Planner::release(TaskNumber Task) { Impl_->release(Task); }
 
 void Planner::noteCheckpoint(TaskNumber Task, base::TimePoint At) {
-  auto Found = Impl_->Running_.find(Task);
-  if (Found != Impl_->Running_.end())
-    Found->second.CheckpointAt_ = At;
+  Occupant *Known = Impl_->State_.Fleet_.task(Task);
+  if (Known != nullptr)
+    Known->Run_.CheckpointAt_ = At;
 }
 
-void Planner::reportUsage(const TaskUsage & /*Usage*/) {}
+void Planner::reportUsage(const TaskUsage &Usage) {
+  auto &State = Impl_->State_;
+  Occupant *Known = State.Fleet_.task(Usage.Task_);
+  if (Known != nullptr && !State.Policy_.IgnoreInterference_)
+    State.Ladder_.report(Usage, *Known, State.Estimates_);
+}
 
-void Planner::reportStart(WorkerNumber /*Worker*/, JobNumber /*Job*/,
-                          bool /*Succeeded*/, base::TimePoint /*Now*/) {}
+void Planner::reportStart(WorkerNumber Number, JobNumber Job, bool Succeeded,
+                          base::TimePoint Now) {
+  auto &State = Impl_->State_;
+  Worker *Target = State.Fleet_.find(Number);
+  if (Target == nullptr ||
+      !State.Health_.noteStart(*Target, Job, Succeeded, Now))
+    return;
+  State.Fleet_.refresh(*Target);
+  if (Target->Quarantined_)
+    State.dropReservationsOn(*Target);
+}
 
 std::vector<Decision> Planner::plan(base::TimePoint Now, std::size_t Limit) {
-  std::vector<Decision> Result;
-  for (bool Urgent : {true, false}) {
-    for (auto It = Impl_->Pending_.begin();
-         It != Impl_->Pending_.end() && Result.size() < Limit;) {
-      PendingTask Task = It->second;
-      ++It;
-      if (Task.Urgent_ != Urgent || Task.Gang_ != 0)
-        continue;
-      auto Worker = Impl_->firstFit(Task.Request_);
-      if (!Worker)
-        continue;
-      Impl_->occupy({Task, *Worker, Now, Now});
-      Result.push_back({DecisionKind::Start, Task.Task_, *Worker,
-                        Urgent ? Reason::UrgentFirst : Reason::BestFit, 0,
-                        base::Resources{}});
-    }
-  }
-  return Result;
+  auto &State = Impl_->State_;
+  std::vector<Decision> Out;
+  Impl_->beginPlan(Now);
+  internal::Starter Starts(State, Limit, Out);
+  internal::Evictor Evictions(State, Limit, Out);
+  Starts.wake();
+  Starts.startUrgent();
+  Evictions.makeRoomForUrgent();
+  Evictions.evacuate();
+  Impl_->reject(Limit, Out);
+  State.Ladder_.step(
+      State.Fleet_, State.Estimates_, Now, Limit - Out.size(),
+      [&](Occupant &Task) {
+        return Evictions.evictUnprotected(Task, Reason::Interference);
+      },
+      Out);
+  Starts.startByShare();
+  Evictions.reclaim();
+  return Out;
 }
 
-base::Resources Planner::committed(WorkerNumber Worker) const {
-  auto Found = Impl_->Workers_.find(Worker);
-  return Found == Impl_->Workers_.end() ? base::Resources{}
-                                        : Found->second.Committed_;
+base::Resources Planner::committed(WorkerNumber Number) const {
+  const Worker *Target = Impl_->State_.Fleet_.find(Number);
+  return Target == nullptr ? base::Resources{} : Target->Committed_;
 }
 
 base::Resources Planner::freeCapacity() const {
   base::Resources Free;
-  for (const auto &[Number, Worker] : Impl_->Workers_)
-    if (Impl_->usable(Worker))
-      Free += Worker.free();
+  const auto &Fleet = std::as_const(Impl_->State_.Fleet_);
+  for (const auto &[Number, Each] : Fleet.workers())
+    if (Fleet.usable(Each) && !Each.Quarantined_)
+      Free += internal::maxOf(Each.free(), {});
   return Free;
 }
 
-std::size_t Planner::pendingCount() const { return Impl_->Pending_.size(); }
+std::size_t Planner::pendingCount() const {
+  return Impl_->State_.Queue_.size();
+}
 
 std::optional<Reason> Planner::whyPending(TaskNumber Task) const {
-  if (Impl_->Pending_.count(Task) == 0)
+  const internal::Entry *Waiting = Impl_->State_.Queue_.find(Task);
+  if (Waiting == nullptr)
     return std::nullopt;
-  return Reason::NoRoom;
+  return Impl_->whyPending(*Waiting);
 }
 
 } // namespace crocuslead::schedule
--- a/src/schedule/Planner.h
+++ b/src/schedule/Planner.h
@@ -46,13 +46,17 @@
   ~Planner();
 
   void upsertWorker(const WorkerInfo &Info);
-  //! Removes a worker without tasks.
+  //! Removes a worker without tasks. One with tasks leaves, and is removed when
+  //! its last task is released.
   void removeWorker(WorkerNumber Worker);
   void setWorkspaces(std::vector<WorkspaceShare> Shares,
                      const base::Resources &FleetCapacity);
   //! A domain that is out gets no start, and its tasks are evicted.
   void setDomainAvailable(DomainNumber Domain, bool Available);
+  //! End of the current month on the monotonic clock; none when unknown.
+  void setMonthEnd(std::optional<base::TimePoint> MonthEnd);
 
+  //! A task that still occupies a worker becomes pending at its release.
   void addPending(const PendingTask &Task);
   void removePending(TaskNumber Task);
 
--- a/src/schedule/Types.h
+++ b/src/schedule/Types.h
@@ -29,6 +29,8 @@
   //! False while the worker leaves or cannot be reached: it keeps its tasks and
   //! gets no new one.
   bool Schedulable_ = true;
+  //! The worker is about to end: its tasks are evicted and it gets no new one.
+  bool Leaving_ = false;
 };
 
 struct WorkspaceShare {
@@ -58,6 +60,9 @@
   base::TimePoint Submitted_;
   //! How often the task was evicted before.
   uint32_t Restarts_ = 0;
+  //! Expected run time; zero when unknown. Makes a batch task near its end
+  //! costlier to evict in the last days of a month.
+  base::Duration ExpectedRun_{};
 };
 
 enum class DecisionKind : uint8_t { Start, Evict, Throttle, Reject };
--- /dev/null
+++ b/src/schedule/internal/Evictor.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "schedule/internal/State.h"
+
+#include <optional>
+#include <vector>
+
+namespace crocuslead::schedule::internal {
+
+//! Chooses evictions: departing workers, room for urgent work, and capacity
+//! that its owner takes back.
+class Evictor {
+public:
+  Evictor(State &Of, std::size_t Limit, std::vector<Decision> &Out)
+      : State_(Of), Limit_(Limit), Out_(Out) {}
+
+  void evacuate();
+  void makeRoomForUrgent();
+  void reclaim();
+  //! Evicts the task with its gang unless protected or over the limit.
+  bool evictUnprotected(Occupant &Task, Reason Why);
+
+private:
+  //! Room on one worker after the eviction of some victims.
+  struct Offer {
+    Worker *Worker_ = nullptr;
+    std::vector<Occupant *> Victims_;
+    double Cost_ = 0;
+  };
+  struct Candidate {
+    double Cost_ = 0;
+    std::vector<Occupant *> Unit_;
+    base::Resources Here_;
+  };
+
+  std::size_t room() const { return Limit_ - std::min(Limit_, Out_.size()); }
+  void claimLane(Lane &Place, Reason Why, std::size_t &Searches);
+  //! Claims room for the waiting tasks of a shape until one finds none.
+  bool claimShape(Shape &Target, Reason Why, std::size_t &Searches);
+  bool claimUnit(const std::vector<PendingTask> &Unit, Reason Why);
+  bool isEntitled(const PendingTask &Task, const base::Resources &Request);
+  std::optional<Offer> bestOffer(const PendingTask &Task);
+  std::optional<Offer> offerOf(const PendingTask &Task, Worker &Target);
+  std::vector<Candidate> candidates(const PendingTask &Task, Worker &Target);
+  bool isEligible(const PendingTask &For, const std::vector<Occupant *> &Unit);
+  double costOf(const Occupant &Victim);
+
+  State &State_;
+  std::size_t Limit_;
+  std::vector<Decision> &Out_;
+};
+
+} // namespace crocuslead::schedule::internal
--- /dev/null
+++ b/src/schedule/internal/Fleet.cpp
@@ -0,0 +1,307 @@
+#include "schedule/internal/Fleet.h"
+
+#include <algorithm>
+
+namespace crocuslead::schedule::internal {
+
+namespace {
+
+constexpr std::chrono::minutes CapacityRetention(15);
+// A returned domain may fill 5% at once and the rest linearly over 2 min.
+constexpr double RampStart = 0.05;
+constexpr std::chrono::seconds RampTime(120);
+constexpr std::chrono::seconds RampWakePeriod(1);
+constexpr int64_t Unbounded = INT64_MAX / 4;
+
+double rampFraction(const Domain &Target, base::TimePoint Now) {
+  return RampStart +
+         base::toSeconds(Now - *Target.ReturnedAt_) / base::toSeconds(RampTime);
+}
+
+template <class Key>
+void addCount(std::vector<std::pair<Key, uint32_t>> &Counts, Key Number,
+              int Change) {
+  auto Found = std::find_if(Counts.begin(), Counts.end(),
+                            [&](auto &Each) { return Each.first == Number; });
+  if (Found == Counts.end())
+    Found = Counts.insert(Counts.end(), {Number, 0});
+  Found->second += static_cast<uint32_t>(Change);
+  if (Found->second == 0)
+    Counts.erase(Found);
+}
+
+} // namespace
+
+Worker *Fleet::find(WorkerNumber Number) {
+  auto Found = Workers_.find(Number);
+  return Found == Workers_.end() ? nullptr : &Found->second;
+}
+
+Occupant *Fleet::task(TaskNumber Number) {
+  auto Found = Tasks_.find(Number);
+  return Found == Tasks_.end() ? nullptr : &Found->second;
+}
+
+const std::vector<Occupant *> *Fleet::gang(JobNumber Gang) const {
+  auto Found = Gangs_.find(Gang);
+  return Found == Gangs_.end() ? nullptr : &Found->second;
+}
+
+const JobSpread *Fleet::spread(JobNumber Job) const {
+  auto Found = Spreads_.find(Job);
+  return Found == Spreads_.end() ? nullptr : &Found->second;
+}
+
+const Domain &Fleet::domainOf(const Worker &Target) const {
+  return Domains_.at(Target.Info_.Domain_);
+}
+
+uint32_t Fleet::kindIndex(KindNumber Kind) {
+  return KindIndex_.emplace(Kind, static_cast<uint32_t>(KindIndex_.size()))
+      .first->second;
+}
+
+void Fleet::countCapacity(const base::Resources &Capacity, int Change) {
+  TotalCapacity_ =
+      Change > 0 ? TotalCapacity_ + Capacity : TotalCapacity_ - Capacity;
+  if (Capacity == base::Resources{})
+    return;
+  CapacityKey Key{Capacity.MilliCpu_, Capacity.MemoryMb_,
+                  Capacity.Accelerators_};
+  CapacityCount &Count = Capacities_[Key];
+  Count.Workers_ += static_cast<uint32_t>(Change);
+  Count.Peak_ = std::max(Count.Peak_, Count.Workers_);
+  Count.LastSeen_ = Now_;
+}
+
+void Fleet::countSpread(const Occupant &Task, int Change) {
+  const PendingTask &Spec = Task.Run_.Task_;
+  if (Spec.Class_ != TaskClass::LatencyCritical)
+    return;
+  JobSpread &Spread = Spreads_[Spec.Job_];
+  addCount(Spread.Racks_, Task.Worker_->Info_.Rack_, Change);
+  addCount(Spread.Domains_, Task.Worker_->Info_.Domain_, Change);
+  Spread.Total_ += static_cast<uint32_t>(Change);
+  if (Spread.Total_ == 0)
+    Spreads_.erase(Spec.Job_);
+}
+
+// Counts the worker into (Sign 1) or out of (-1) the sums of its domain.
+void Fleet::attach(Worker &Target, int Sign) {
+  Domain &Place = Domains_[Target.Info_.Domain_];
+  auto Add = [&](base::Resources &Sum, const base::Resources &Part) {
+    Sum = Sign > 0 ? Sum + Part : Sum - Part;
+  };
+  Add(Place.Capacity_, Target.Info_.Capacity_);
+  Add(Place.Committed_, Target.Committed_);
+  countCapacity(Target.Info_.Capacity_, Sign);
+  for (Occupant *Task : Target.Tasks_)
+    countSpread(*Task, Sign);
+}
+
+Worker &Fleet::upsert(const WorkerInfo &Info) {
+  auto [Found, Fresh] = Workers_.try_emplace(Info.Worker_);
+  Worker &Target = Found->second;
+  if (!Fresh)
+    attach(Target, -1);
+  Target.Info_ = Info;
+  Target.Removed_ = false;
+  attach(Target, 1);
+  refresh(Target);
+  return Target;
+}
+
+void Fleet::remove(WorkerNumber Number) {
+  Worker *Target = find(Number);
+  if (Target == nullptr)
+    return;
+  if (!Target->Tasks_.empty()) {
+    Target->Removed_ = true;
+    refresh(*Target);
+    return;
+  }
+  Index_.remove(*Target);
+  attach(*Target, -1);
+  Departing_.erase(Number);
+  EvictingAt_.erase(Number);
+  Workers_.erase(Number);
+}
+
+bool Fleet::departing(const Worker &Target) const {
+  return Target.Removed_ || Target.Info_.Leaving_ ||
+         !domainOf(Target).Available_;
+}
+
+bool Fleet::usable(const Worker &Target) const {
+  return Target.Info_.Schedulable_ && !departing(Target) &&
+         (!Target.Quarantined_ || Target.ProbeOpen_);
+}
+
+void Fleet::refresh(Worker &Target) {
+  auto File = [&](std::set<WorkerNumber> &Set, bool Member) {
+    if (Member)
+      Set.insert(Target.Info_.Worker_);
+    else
+      Set.erase(Target.Info_.Worker_);
+  };
+  File(EvictingAt_, Target.Evicting_ != base::Resources{});
+  File(Departing_, departing(Target) && Target.Evicting_ != Target.Committed_);
+  base::Resources Before =
+      Target.IndexCell_ < 0 ? base::Resources{-1, -1, -1} : Target.Usable_;
+  if (!usable(Target)) {
+    Index_.remove(Target);
+    return;
+  }
+  Target.Usable_ = minOf(Target.free(), Target.freeLater());
+  Index_.place(Target);
+  if (!Target.Usable_.fitsIn(Before))
+    noteFreed(Target.Usable_);
+}
+
+void Fleet::setDomainAvailable(DomainNumber Number, bool Available) {
+  Domain &Place = Domains_[Number];
+  if (Place.Available_ == Available)
+    return;
+  Place.Available_ = Available;
+  Place.JustReturned_ = Available;
+  for (auto &[Each, Target] : Workers_)
+    if (Target.Info_.Domain_ == Number)
+      refresh(Target);
+}
+
+Occupant &Fleet::occupy(const RunningTask &Run, Worker &Target) {
+  Occupant &Task = Tasks_[Run.Task_.Task_];
+  Task.Run_ = Run;
+  Task.Worker_ = &Target;
+  Task.Kind_ = kindIndex(Run.Task_.Kind_);
+  Target.Tasks_.push_back(&Task);
+  auto &Kinds = Target.Kinds_;
+  auto Kind = std::find_if(Kinds.begin(), Kinds.end(), [&](auto &Each) {
+    return Each.Kind_ == Task.Kind_;
+  });
+  if (Kind == Kinds.end())
+    Kind = Kinds.insert(Kinds.end(), KindCount{Task.Kind_, 0, 0});
+  ++(Run.Task_.Class_ == TaskClass::Batch ? Kind->Batch_
+                                          : Kind->LatencyCritical_);
+  Target.Committed_ += Run.Task_.Request_;
+  Domains_[Target.Info_.Domain_].Committed_ += Run.Task_.Request_;
+  if (Run.Task_.Gang_ != 0)
+    Gangs_[Run.Task_.Gang_].push_back(&Task);
+  countSpread(Task, 1);
+  refresh(Target);
+  return Task;
+}
+
+void Fleet::release(Occupant &Task) {
+  Worker &Target = *Task.Worker_;
+  const PendingTask Spec = Task.Run_.Task_;
+  countSpread(Task, -1);
+  Target.Tasks_.erase(
+      std::find(Target.Tasks_.begin(), Target.Tasks_.end(), &Task));
+  auto &Kinds = Target.Kinds_;
+  auto Kind = std::find_if(Kinds.begin(), Kinds.end(), [&](auto &Each) {
+    return Each.Kind_ == Task.Kind_;
+  });
+  --(Spec.Class_ == TaskClass::Batch ? Kind->Batch_ : Kind->LatencyCritical_);
+  if (Kind->Batch_ + Kind->LatencyCritical_ == 0)
+    Kinds.erase(Kind);
+  if (Spec.Gang_ != 0) {
+    auto Members = Gangs_.find(Spec.Gang_);
+    auto &List = Members->second;
+    List.erase(std::find(List.begin(), List.end(), &Task));
+    if (List.empty())
+      Gangs_.erase(Members);
+  }
+  Target.Committed_ -= Spec.Request_;
+  Domains_[Target.Info_.Domain_].Committed_ -= Spec.Request_;
+  if (Task.Evicting_)
+    Target.Evicting_ -= Spec.Request_;
+  Tasks_.erase(Spec.Task_);
+  if (Target.Removed_ && Target.Tasks_.empty())
+    remove(Target.Info_.Worker_);
+  else
+    refresh(Target);
+}
+
+void Fleet::markEvicting(Occupant &Task) {
+  if (Task.Evicting_)
+    return;
+  Task.Evicting_ = true;
+  Task.Worker_->Evicting_ += Task.Run_.Task_.Request_;
+  refresh(*Task.Worker_);
+}
+
+void Fleet::unmarkEvicting(Occupant &Task) {
+  Task.Evicting_ = false;
+  Task.Worker_->Evicting_ -= Task.Run_.Task_.Request_;
+  refresh(*Task.Worker_);
+}
+
+void Fleet::reserve(Worker &Target, const base::Resources &Amount) {
+  Target.Reserved_ += Amount;
+  refresh(Target);
+}
+
+void Fleet::unreserve(Worker &Target, const base::Resources &Amount) {
+  Target.Reserved_ -= Amount;
+  refresh(Target);
+}
+
+void Fleet::noteFreed(const base::Resources &Usable) {
+  if (Quiet_)
+    return;
+  auto &Slot = Freed_[Epoch_ % EpochsKept];
+  Slot = maxOf(Slot, Usable);
+}
+
+bool Fleet::freedSince(uint64_t Epoch, const base::Resources &Request) const {
+  return Epoch + EpochsKept <= Epoch_ + 1 ||
+         Request.fitsIn(FreedSince_[Epoch % EpochsKept]);
+}
+
+void Fleet::beginPlan(base::TimePoint Now) {
+  Now_ = Now;
+  bool Ramping = false;
+  for (auto &[Number, Place] : Domains_) {
+    if (Place.JustReturned_)
+      Place.ReturnedAt_ = Now;
+    Place.JustReturned_ = false;
+    Ramping = Ramping || Place.ReturnedAt_;
+    if (Place.ReturnedAt_ &&
+        (rampFraction(Place, Now) >= 1 || !Place.Available_)) {
+      // Tasks that the last limit held back are woken once more.
+      Place.ReturnedAt_.reset();
+      LastRampWake_ = {};
+    }
+  }
+  if (Ramping && Now >= LastRampWake_ + RampWakePeriod) {
+    LastRampWake_ = Now;
+    noteFreed({Unbounded, Unbounded, Unbounded});
+  }
+  base::Resources Sum;
+  for (uint64_t Back = 0; Back < EpochsKept && Back <= Epoch_; ++Back) {
+    auto Slot = (Epoch_ - Back) % EpochsKept;
+    Sum = maxOf(Sum, Freed_[Slot]);
+    FreedSince_[Slot] = Sum;
+  }
+  ++Epoch_;
+  Freed_[Epoch_ % EpochsKept] = {};
+  FreedSince_[Epoch_ % EpochsKept] = {};
+  for (auto It = Capacities_.begin(); It != Capacities_.end();) {
+    bool Drop = It->second.Workers_ == 0 &&
+                Now >= It->second.LastSeen_ + CapacityRetention;
+    CapacityVersion_ += Drop ? 1 : 0;
+    It = Drop ? Capacities_.erase(It) : std::next(It);
+  }
+}
+
+bool Fleet::rampAllows(const Worker &Target, const base::Resources &Request,
+                       base::TimePoint Now) const {
+  const Domain &Place = domainOf(Target);
+  if (!Place.ReturnedAt_ || Place.Committed_ == base::Resources{})
+    return true;
+  return base::dominantShare(Place.Committed_ + Request, Place.Capacity_) <=
+         rampFraction(Place, Now);
+}
+
+} // namespace crocuslead::schedule::internal
--- /dev/null
+++ b/src/schedule/internal/Shares.cpp
@@ -0,0 +1,74 @@
+#include "schedule/internal/Shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace crocuslead::schedule::internal {
+
+namespace {
+
+// Workspaces without an agreed share are served from idle capacity only.
+constexpr double SmallestShare = 1e-6;
+// Ten steps of priority double the weight of a workspace.
+constexpr double PriorityDoubling = 10.0;
+constexpr int PriorityLimit = 100;
+
+} // namespace
+
+void Shares::configure(std::vector<WorkspaceShare> Given,
+                       const base::Resources &Fleet) {
+  Fleet_ = Fleet;
+  for (auto &[Number, Each] : Accounts_) {
+    Each.Share_ = {};
+    Each.Share_.Workspace_ = Number;
+  }
+  for (WorkspaceShare &Each : Given) {
+    WorkspaceNumber Number = Each.Workspace_;
+    Accounts_[Number].Share_ = std::move(Each);
+  }
+}
+
+Account &Shares::account(WorkspaceNumber Workspace) {
+  auto [Found, Fresh] = Accounts_.try_emplace(Workspace);
+  if (Fresh)
+    Found->second.Share_.Workspace_ = Workspace;
+  return Found->second;
+}
+
+double Shares::rank(const Account &Of) const {
+  double Used =
+      base::dominantShare(Of.Used_, fleet()) + Of.Share_.UsedElsewhere_;
+  if (DominantResourceFairness_)
+    return Used;
+  double Weight =
+      std::exp2(std::clamp(Of.Share_.Priority_, -PriorityLimit, PriorityLimit) /
+                PriorityDoubling);
+  return (Used + SmallestShare) /
+         (std::max(Of.Share_.AgreedShare_, SmallestShare) * Weight);
+}
+
+double Shares::shareAfter(const Account &Of, const base::Resources &Plus,
+                          const base::Resources &Minus) const {
+  return base::dominantShare(Of.Used_ - Of.Evicting_ + Plus - Minus, fleet()) +
+         Of.Share_.UsedElsewhere_;
+}
+
+// Dominant-resource fairness entitles the active workspaces to equal parts.
+void Shares::beginPlan() {
+  auto Active = std::count_if(Accounts_.begin(), Accounts_.end(), [](auto &A) {
+    return A.second.Used_ != base::Resources{} ||
+           A.second.Reserved_ != base::Resources{};
+  });
+  EqualShare_ = 1.0 / static_cast<double>(std::max<std::ptrdiff_t>(Active, 1));
+}
+
+double Shares::entitlement(const Account &Of) const {
+  return DominantResourceFairness_ ? EqualShare_ : Of.Share_.AgreedShare_;
+}
+
+double Shares::excess(const Account &Of) const {
+  double Entitled = std::max(entitlement(Of), 0.001);
+  return shareAfter(Of, {}, {}) / Entitled - 1;
+}
+
+} // namespace crocuslead::schedule::internal
--- /dev/null
+++ b/src/schedule/internal/Worker.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "schedule/Planner.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace crocuslead::schedule::internal {
+
+struct Worker;
+
+//! A task that holds resources on a worker.
+struct Occupant {
+  RunningTask Run_;
+  Worker *Worker_ = nullptr;
+  //! Dense index of the task's kind.
+  uint32_t Kind_ = 0;
+  bool Evicting_ = false;
+  int ThrottlePercent_ = 0;
+};
+
+//! Tasks of one kind on a worker, by class.
+struct KindCount {
+  uint32_t Kind_ = 0;
+  uint32_t LatencyCritical_ = 0;
+  uint32_t Batch_ = 0;
+};
+
+struct Worker {
+  WorkerInfo Info_;
+  base::Resources Committed_;
+  //! Part of Committed_ whose eviction was issued.
+  base::Resources Evicting_;
+  //! Promised to waiting tasks for which evictions were issued.
+  base::Resources Reserved_;
+  std::vector<Occupant *> Tasks_;
+  std::vector<KindCount> Kinds_;
+  //! Quarantined after failed starts; ProbeOpen_ admits a single start.
+  bool Quarantined_ = false;
+  bool ProbeOpen_ = false;
+  uint32_t FailureStreak_ = 0;
+  bool Removed_ = false;
+  //! Capacity that a search may use, as last indexed.
+  base::Resources Usable_;
+  int32_t IndexCell_ = -1;
+  uint32_t IndexSlot_ = 0;
+
+  base::Resources free() const { return Info_.Capacity_ - Committed_; }
+  //! Free once the issued evictions are released, without promised room.
+  base::Resources freeLater() const { return free() + Evicting_ - Reserved_; }
+};
+
+inline base::Resources minOf(const base::Resources &A,
+                             const base::Resources &B) {
+  return {std::min(A.MilliCpu_, B.MilliCpu_),
+          std::min(A.MemoryMb_, B.MemoryMb_),
+          std::min(A.Accelerators_, B.Accelerators_)};
+}
+
+inline base::Resources maxOf(const base::Resources &A,
+                             const base::Resources &B) {
+  return {std::max(A.MilliCpu_, B.MilliCpu_),
+          std::max(A.MemoryMb_, B.MemoryMb_),
+          std::max(A.Accelerators_, B.Accelerators_)};
+}
+
+} // namespace crocuslead::schedule::internal
