--- a/src/route/Router.h
+++ b/src/route/Router.h
@@ -143,6 +143,7 @@
   int InFlight_ = 0;
   double LatencyMs_ = 0;
   double Weight_ = 1;
+  int ConnectionsHeld_ = 0;
 };
 
 //! Carries requests of callers to upstream slots: admission, choice, retry,
@@ -162,8 +163,8 @@
   //! Instances seen alive; slots of the others pass on after the handover
   //! delay.
   void setLiveInstances(std::vector<std::string> Live, base::TimePoint Now);
-  //! Lends Count slots of Upstream to Instance until the term ends (called on
-  //! the lender).
+  //! Lends Count slots of Upstream until the term ends (called on the lender).
+  //! Count must come from idleSlots() with no other call in between.
   void lendSlots(const std::string &Upstream, int Count, base::TimePoint Until);
   //! Adds borrowed slots (called on the borrower).
   void borrowSlots(const std::string &Upstream, int Count,
@@ -178,6 +179,11 @@
   //! The caller has closed its connection.
   void callerGone(uint64_t Request, base::TimePoint Now);
   void tick(base::TimePoint Now);
+  //! When the next tick is due at the latest; none when nothing waits. Some
+  //! timers may have lost their cause, so a tick then can do nothing.
+  std::optional<base::TimePoint> nextTimer() const;
+  //! Every request that was begun ends with exactly one DeliverAction or
+  //! RefuseAction, also after callerGone().
   std::vector<RouteAction> takeActions();
 
   RouterCounters counters() const;
--- /dev/null
+++ b/src/route/internal/LatencySketch.cpp
@@ -0,0 +1,81 @@
+#include "route/internal/LatencySketch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace crocuslead::route {
+
+namespace {
+
+constexpr double HalfLifeSeconds = 5;
+//! Weights grow instead of decaying; they are scaled back after this many
+//! half-lives.
+constexpr double MaxHalfLives = 30;
+constexpr std::chrono::milliseconds RefreshInterval{50};
+//! Quantiles of fewer samples mean little.
+constexpr double MinSamples = 20;
+constexpr double LowShare = 0.1;
+constexpr double HighShare = 0.95;
+
+std::size_t bucketOf(base::Duration Latency, std::size_t Count) {
+  auto Micros = static_cast<uint64_t>(std::max<int64_t>(Latency.count(), 4));
+  int Top = 63 - __builtin_clzll(Micros);
+  auto Quarter = static_cast<std::size_t>((Micros >> (Top - 2)) & 3);
+  return std::min(static_cast<std::size_t>(Top) * 4 + Quarter, Count - 1);
+}
+
+//! Middle of the bucket.
+base::Duration valueOf(std::size_t Bucket) {
+  double Base = std::ldexp(1.0, static_cast<int>(Bucket / 4));
+  double Value = Base * (1 + (static_cast<double>(Bucket % 4) + 0.5) / 4);
+  return base::Duration(static_cast<int64_t>(Value));
+}
+
+} // namespace
+
+double LatencySketch::growth(base::TimePoint Now) const {
+  return std::exp2(base::toSeconds(Now - Origin_) / HalfLifeSeconds);
+}
+
+void LatencySketch::rescale(base::TimePoint Now) {
+  double HalfLives = base::toSeconds(Now - Origin_) / HalfLifeSeconds;
+  if (HalfLives < MaxHalfLives)
+    return;
+  double Factor = std::exp2(-HalfLives);
+  for (double &Weight : Weights_)
+    Weight *= Factor;
+  Origin_ = Now;
+}
+
+void LatencySketch::add(base::Duration Latency, base::TimePoint Now) {
+  rescale(Now);
+  Weights_[bucketOf(Latency, BucketCount)] += growth(Now);
+}
+
+void LatencySketch::refresh(base::TimePoint Now) {
+  if (Now - Computed_ < RefreshInterval)
+    return;
+  Computed_ = Now;
+  rescale(Now);
+  double Sum = std::accumulate(Weights_.begin(), Weights_.end(), 0.0);
+  if (Sum < MinSamples * growth(Now)) {
+    Low_ = Median_ = High_ = std::nullopt;
+    return;
+  }
+  Low_ = quantile(LowShare, Sum);
+  Median_ = quantile(0.5, Sum);
+  High_ = quantile(HighShare, Sum);
+}
+
+base::Duration LatencySketch::quantile(double Share, double Sum) const {
+  double Rest = Share * Sum;
+  for (std::size_t I = 0; I < BucketCount; ++I) {
+    Rest -= Weights_[I];
+    if (Rest <= 0)
+      return valueOf(I);
+  }
+  return valueOf(BucketCount - 1);
+}
+
+} // namespace crocuslead::route
--- /dev/null
+++ b/src/route/internal/SlotShare.cpp
@@ -0,0 +1,96 @@
+#include "route/internal/SlotShare.h"
+
+#include "base/Hash.h"
+#include <algorithm>
+#include <utility>
+
+namespace crocuslead::route {
+
+InstanceView::InstanceView(std::vector<std::string> Instances,
+                           const std::string &Self)
+    : Instances_(std::move(Instances)) {
+  std::sort(Instances_.begin(), Instances_.end());
+  Instances_.erase(std::unique(Instances_.begin(), Instances_.end()),
+                   Instances_.end());
+  auto Found = std::find(Instances_.begin(), Instances_.end(), Self);
+  if (Found == Instances_.end())
+    Found = Instances_.insert(Instances_.end(), Self);
+  Self_ = static_cast<std::size_t>(Found - Instances_.begin());
+  DeadSince_.resize(Instances_.size());
+  PassedOn_.resize(Instances_.size(), false);
+}
+
+void InstanceView::setLive(const std::vector<std::string> &Live,
+                           base::TimePoint Now) {
+  for (std::size_t I = 0; I < Instances_.size(); ++I) {
+    bool Alive = I == Self_ ||
+                 std::binary_search(Live.begin(), Live.end(), Instances_[I]);
+    if (Alive)
+      DeadSince_[I] = std::nullopt;
+    else if (!DeadSince_[I])
+      DeadSince_[I] = Now;
+  }
+}
+
+bool InstanceView::refresh(base::TimePoint Now) {
+  bool Changed = false;
+  for (std::size_t I = 0; I < Instances_.size(); ++I) {
+    bool Passed = DeadSince_[I] && Now >= *DeadSince_[I] + HandoverDelay;
+    Changed = Changed || Passed != PassedOn_[I];
+    PassedOn_[I] = Passed;
+  }
+  return Changed;
+}
+
+SlotShare::SlotShare(const std::string &Upstream, const std::string &Kind,
+                     int Count, const InstanceView &View) {
+  const auto &Instances = View.instances();
+  for (int Slot = 0; Slot < Count; ++Slot) {
+    std::string Key = Upstream + Kind + std::to_string(Slot);
+    auto Own = std::make_pair(
+        base::rendezvousWeight(Key, Instances[View.self()]), View.self());
+    std::vector<uint16_t> Ahead;
+    for (std::size_t I = 0; I < Instances.size(); ++I)
+      if (std::make_pair(base::rendezvousWeight(Key, Instances[I]), I) > Own)
+        Ahead.push_back(static_cast<uint16_t>(I));
+    Ahead_.push_back(std::move(Ahead));
+  }
+  refresh(View);
+}
+
+void SlotShare::refresh(const InstanceView &View) {
+  Held_ = static_cast<int>(std::count_if(
+      Ahead_.begin(), Ahead_.end(), [&](const std::vector<uint16_t> &Ahead) {
+        return std::all_of(Ahead.begin(), Ahead.end(),
+                           [&](uint16_t I) { return View.passedOn(I); });
+      }));
+}
+
+void SlotLoans::add(int Count, base::TimePoint Until) {
+  if (Count > 0)
+    Loans_.push_back({Count, Until});
+}
+
+int SlotLoans::total(base::TimePoint Now) const {
+  int Sum = 0;
+  for (const Loan &L : Loans_)
+    if (L.Until_ > Now)
+      Sum += L.Count_;
+  return Sum;
+}
+
+std::optional<base::TimePoint> SlotLoans::longest(base::TimePoint Now) const {
+  std::optional<base::TimePoint> Longest;
+  for (const Loan &L : Loans_)
+    if (L.Until_ > Now && (!Longest || *Longest < L.Until_))
+      Longest = L.Until_;
+  return Longest;
+}
+
+void SlotLoans::prune(base::TimePoint Now) {
+  Loans_.erase(std::remove_if(Loans_.begin(), Loans_.end(),
+                              [&](const Loan &L) { return L.Until_ <= Now; }),
+               Loans_.end());
+}
+
+} // namespace crocuslead::route
