--- a/src/partition/Partition.h
+++ b/src/partition/Partition.h
@@ -36,6 +36,8 @@
   int64_t Epoch_ = 0;
   std::string OwnerKey_;
   std::string DomainsKey_;
+  //! Failure domain of the partition's racks.
+  std::string Domain_;
   PartitionTimes Times_;
   schedule::PlannerPolicy Policy_;
   uint64_t Seed_ = 1;
--- /dev/null
+++ b/src/partition/internal/Transfers.cpp
@@ -0,0 +1,207 @@
+#include "partition/internal/Impl.h"
+
+#include "partition/internal/Codec.h"
+
+#include <algorithm>
+
+namespace crocuslead::partition {
+
+namespace {
+
+//! A job without room here waits this long before it moves.
+constexpr base::Duration MoveAfter = std::chrono::seconds(30);
+constexpr base::Duration TransferInterval = std::chrono::seconds(1);
+constexpr base::Duration MaxOfferDelay = std::chrono::seconds(30);
+constexpr int OffersPerRound = 20;
+constexpr base::Duration AccrueInterval = std::chrono::minutes(5);
+constexpr int64_t KeepEndedMs = 24LL * 3600 * 1000;
+constexpr std::size_t KeepEndedJobs = 20'000;
+
+} // namespace
+
+bool Partition::Impl::movable(const JobRecord &Job) const {
+  if (Job.EndedMs_ != 0 || Job.Cancelled_ ||
+      Job.Transfer_ != TransferPhase::None)
+    return false;
+  return std::none_of(
+      Job.Tasks_.begin(), Job.Tasks_.end(),
+      [](const TaskRecord &T) { return holdsWorker(T.State_); });
+}
+
+std::optional<std::string>
+Partition::Impl::receiverFor(const JobRecord &Job) const {
+  base::Resources Need = Job.Spec_.PerTask_;
+  if (Job.Spec_.Gang_)
+    for (std::size_t I = 1; I < Job.Tasks_.size(); ++I)
+      Need += Job.Spec_.PerTask_;
+  std::optional<std::string> Best;
+  double BestShare = 0;
+  for (const PartitionSummary &Peer : Peers_) {
+    if (Peer.Id_ == Settings_.Id_ || !Need.fitsIn(Peer.Free_))
+      continue;
+    // The part of the peer's room that the job would take: the least wins.
+    double Share = base::dominantShare(Need, Peer.Free_);
+    if (Best && Share >= BestShare)
+      continue;
+    Best = Peer.Id_;
+    BestShare = Share;
+  }
+  return Best;
+}
+
+void Partition::Impl::runTransfers(base::TimePoint Now) {
+  if (Handover_ || Now < NextTransferAt_ || !storeFresh(Now) || !Configured_)
+    return;
+  NextTransferAt_ = Now + TransferInterval;
+  bool Out = domainState(ownDomain()) != config::DomainState::InService;
+  int Left = OffersPerRound;
+  for (auto &[Id, Live] : LiveJobs_) {
+    const JobRecord &Job = *State_.find(Id);
+    if (Job.Transfer_ == TransferPhase::Offered) {
+      if (Now >= Live.NextOfferAt_)
+        sendOffer(Job, Live, Now);
+      continue;
+    }
+    if (Left == 0 || Live.CancelWanted_ || !movable(Job) ||
+        (!Out && Now - Live.PendingSince_ < MoveAfter))
+      continue;
+    auto To = receiverFor(Job);
+    if (!To)
+      continue;
+    --Left;
+    for (uint32_t I = 0; I < Job.Tasks_.size(); ++I) {
+      LiveTask &Task = Tasks_[Live.FirstTask_ + I];
+      if (Task.InPlanner_)
+        Planner_.removePending(Live.FirstTask_ + I);
+      Task.InPlanner_ = false;
+    }
+    Entry Change;
+    Change.Kind_ = EntryKind::Offered;
+    Change.Job_ = Id;
+    Change.Text_ = *To;
+    Change.Number_ = static_cast<int64_t>(Job.Hop_ + 1);
+    Live.OfferDelay_ = TransferInterval;
+    // Sent once the offer is durable.
+    Live.NextOfferAt_ = base::TimePoint::max();
+    log(Id, "offer", Out ? "domain-out" : "no-room", *To);
+    stage(std::move(Change), Job.Spec_.Urgent_,
+          [this, Job = Id](base::TimePoint At) {
+            auto Found = LiveJobs_.find(Job);
+            if (Found != LiveJobs_.end())
+              sendOffer(*State_.find(Job), Found->second, At);
+          });
+  }
+}
+
+void Partition::Impl::sendOffer(const JobRecord &Job, LiveJob &Live,
+                                base::TimePoint Now) {
+  Live.OfferDelay_ =
+      std::min(MaxOfferDelay, std::max<base::Duration>(TransferInterval,
+                                                       Live.OfferDelay_ * 2));
+  Live.NextOfferAt_ = Now + Live.OfferDelay_;
+  Actions_.push_back(
+      TransferAction{Job.TransferTo_, Job.Spec_.Id_, Job.Hop_, encodeJob(Job)});
+}
+
+void Partition::Impl::transferAccepted(const std::string &JobId,
+                                       uint64_t Number) {
+  const JobRecord *Job = State_.find(JobId);
+  if (Job == nullptr || Job->Transfer_ != TransferPhase::Offered ||
+      Job->Hop_ != Number || Journal_.fenced())
+    return;
+  Entry Change;
+  Change.Kind_ = EntryKind::Moved;
+  Change.Job_ = JobId;
+  Change.TimeMs_ = wallMs();
+  log(JobId, "moved", "accepted", Job->TransferTo_);
+  if (stage(std::move(Change), Job->Spec_.Urgent_))
+    dropLive(JobId);
+}
+
+void Partition::Impl::transferOffered(const std::string &From,
+                                      const std::string &Record,
+                                      uint64_t Number, base::TimePoint Now) {
+  if (Journal_.fenced() || Handover_ || !storeFresh(Now))
+    return;
+  auto Job = decodeJob(Record);
+  if (!Job)
+    return;
+  std::string Id = Job->Spec_.Id_;
+  const JobRecord *Known = State_.find(Id);
+  if (Known != nullptr && Known->Hop_ >= Number) {
+    if (Accepting_.count(Id) == 0)
+      Actions_.push_back(TransferAckAction{From, Id, Number});
+    return;
+  }
+  // A job that lives here can only be a second submission under the same id:
+  // the sender keeps the offered one.
+  if (Known != nullptr && Known->Transfer_ != TransferPhase::Moved)
+    return;
+  Job->Transfer_ = TransferPhase::None;
+  Job->TransferTo_.clear();
+  Job->Hop_ = Number;
+  Entry Change;
+  Change.Kind_ = EntryKind::Accepted;
+  Change.Text_ = encodeJob(*Job);
+  Accepting_.insert(Id);
+  log(Id, "accept", "transfer", From);
+  stage(std::move(Change), Job->Spec_.Urgent_,
+        [this, From, Id, Number](base::TimePoint) {
+          Accepting_.erase(Id);
+          Actions_.push_back(TransferAckAction{From, Id, Number});
+        });
+  addLive(*State_.find(Id), Now);
+}
+
+void Partition::Impl::accrue(base::TimePoint Now) {
+  if (Handover_ || !Configured_ || !WorkersKnown_ || Now < NextAccrueAt_)
+    return;
+  int64_t ToMs = wallMs();
+  if (State_.AccruedMs_ == 0)
+    State_.AccruedMs_ = ToMs;
+  for (int64_t Edge = nextPeriodStart(State_.AccruedMs_); Edge <= ToMs;
+       Edge = nextPeriodStart(Edge))
+    stageAccrue(Edge - 1);
+  stageAccrue(ToMs);
+  NextAccrueAt_ = Now + AccrueInterval;
+  prune();
+}
+
+void Partition::Impl::stageAccrue(int64_t ToMs) {
+  int64_t Span = ToMs - State_.AccruedMs_;
+  if (Span < 0)
+    return;
+  base::Resources Capacity;
+  for (const WorkerLink &Worker : Workers_)
+    if (Worker.Listed_)
+      Capacity += Worker.Info_.Capacity_;
+  Entry Change;
+  Change.Kind_ = EntryKind::Accrue;
+  Change.TimeMs_ = ToMs;
+  for (const auto &[Name, Workspace] : Config_.Workspaces_) {
+    auto Granted = static_cast<int64_t>(
+        Workspace.AgreedShare_ * static_cast<double>(Capacity.MilliCpu_) *
+        static_cast<double>(Span) / 1000.0);
+    if (Granted > 0)
+      Change.Rows_.emplace_back(Name, Granted);
+  }
+  stage(std::move(Change), false);
+}
+
+void Partition::Impl::prune() {
+  const auto &Ended = State_.ended();
+  int64_t Until = wallMs() - KeepEndedMs;
+  if (Ended.size() > KeepEndedJobs) {
+    auto Last = Ended.begin();
+    std::advance(Last, Ended.size() - KeepEndedJobs - 1);
+    Until = std::max(Until, Last->first);
+  }
+  if (Ended.empty() || Ended.begin()->first > Until)
+    return;
+  Entry Change;
+  Change.Kind_ = EntryKind::Prune;
+  Change.Number_ = Until;
+  stage(std::move(Change), false);
+}
+
+} // namespace crocuslead::partition
