Test the planner against an oracle in any order of calls

Cause: named cases cover single rules, not their combinations. Change: a random command loop drives two planners and a simple oracle of capacity, domains, quarantine, gangs, protection and accounting. Six rules are broken on purpose by what the planner is told; the oracle names each.

--- /dev/null
+++ b/tests/schedule/Stateful.tests.cpp
@@ -0,0 +1,292 @@
+#include "Oracle.h"
+
+#include "base/Random.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <iterator>
+
+using namespace crocuslead;
+using namespace crocuslead::schedule;
+using namespace crocuslead::schedule::testing;
+
+namespace {
+
+struct Command {
+  int Kind_ = 0;
+  uint32_t A_ = 0;
+  uint32_t B_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const Command &C) {
+  return Out << C.Kind_ << ":" << C.A_ << ":" << C.B_;
+}
+
+//! Rules that a run can break on purpose by what it tells the planner.
+enum class Fault : uint8_t {
+  None,
+  WrongCapacity,
+  HiddenDomain,
+  HiddenLeaving,
+  HiddenFailures,
+  SplitGangs,
+  HiddenRestarts,
+};
+
+//! Drives planners and the oracle with the same commands.
+class Harness {
+public:
+  Harness(Fault Broken, PlannerPolicy Policy)
+      : Broken_(Broken), Plan_(Policy), Twin_(Policy) {
+    for (WorkerNumber I = 0; I < 6; ++I) {
+      WorkerInfo Info = worker(I, I == 5 ? 8000 : 4000, I / 2, I / 3);
+      Info.Capacity_.Accelerators_ = I == 5 ? 2 : 0;
+      setWorker(Info);
+    }
+    each([](Planner &P) { P.setWorkspaces(shares({0.5, 0.3, 0.2}), {}); });
+  }
+
+  //! The first broken rule, if any.
+  std::optional<std::string> run(const Command &C) {
+    switch (C.Kind_) {
+    case 0:
+    case 1:
+    case 2:
+      addTask(C);
+      break;
+    case 3:
+      addGang(C);
+      break;
+    case 4:
+      cancel(C);
+      break;
+    case 5:
+    case 6:
+      endTask(C);
+      break;
+    case 7:
+      toggleDomain(C.A_ % 2);
+      break;
+    case 8:
+      toggleWorker(C);
+      break;
+    case 9:
+      reportStart(C);
+      break;
+    case 10:
+      reportUsage(C);
+      break;
+    case 11:
+      Now_ += std::chrono::minutes(C.A_ % 30);
+      break;
+    default:
+      break;
+    }
+    Now_ += std::chrono::milliseconds(100 * (C.B_ % 20));
+    return plan(C.A_ % 8 == 0 ? 3 : 50);
+  }
+
+private:
+  void each(const std::function<void(Planner &)> &Call) {
+    Call(Plan_);
+    Call(Twin_);
+  }
+
+  void setWorker(WorkerInfo Info) {
+    Oracle_.setWorker(Info);
+    if (Broken_ == Fault::WrongCapacity)
+      Info.Capacity_ += Info.Capacity_;
+    if (Broken_ == Fault::HiddenLeaving) {
+      Info.Schedulable_ = true;
+      Info.Leaving_ = false;
+    }
+    each([&](Planner &P) { P.upsertWorker(Info); });
+  }
+
+  void addPending(PendingTask Task) {
+    Oracle_.Pending_[Task.Task_] = Task;
+    if (Broken_ == Fault::SplitGangs && Task.Gang_ != 0)
+      Task.GangSize_ = 1;
+    if (Broken_ == Fault::HiddenRestarts)
+      Task.Restarts_ = 0;
+    each([&](Planner &P) { P.addPending(Task); });
+  }
+
+  PendingTask makeTask(const Command &C) {
+    static constexpr int64_t Sizes[] = {500, 1000, 1500, 2500, 4000, 9000};
+    PendingTask Task = batch(NextTask_++, Sizes[C.A_ % 6], 1 + C.B_ % 3);
+    Task.Class_ =
+        C.A_ / 6 % 3 == 0 ? TaskClass::LatencyCritical : TaskClass::Batch;
+    Task.Urgent_ = C.A_ / 18 % 4 == 0;
+    Task.Deferrable_ = C.A_ / 72 % 3 != 0;
+    Task.Request_.Accelerators_ = C.A_ / 216 % 8 == 0 ? 1 : 0;
+    Task.Restarts_ = C.B_ / 3 % 4 == 0 ? 1 : 0;
+    Task.Kind_ = C.B_ % 5;
+    Task.Job_ = 1 + C.B_ % 40;
+    Task.Submitted_ = Now_;
+    return Task;
+  }
+
+  void addTask(const Command &C) { addPending(makeTask(C)); }
+
+  void addGang(const Command &C) {
+    uint32_t Size = 2 + C.B_ % 3;
+    JobNumber Gang = 1000 + NextTask_;
+    for (uint32_t I = 0; I < Size; ++I) {
+      PendingTask Task = makeTask(C);
+      Task.Gang_ = Gang;
+      Task.GangSize_ = Size;
+      addPending(Task);
+    }
+  }
+
+  template <class Map> static auto pick(Map &From, uint32_t Which) {
+    return std::next(From.begin(),
+                     static_cast<std::ptrdiff_t>(Which % From.size()));
+  }
+
+  void cancel(const Command &C) {
+    if (Oracle_.Pending_.empty())
+      return;
+    TaskNumber Task = pick(Oracle_.Pending_, C.A_)->first;
+    Oracle_.Pending_.erase(Task);
+    each([&](Planner &P) { P.removePending(Task); });
+  }
+
+  //! Ends a task, evicted ones first; an evicted one waits again.
+  void endTask(const Command &C) {
+    if (Oracle_.Running_.empty())
+      return;
+    auto Found = pick(Oracle_.Running_, C.A_);
+    for (auto It = Oracle_.Running_.begin(); It != Oracle_.Running_.end(); ++It)
+      if (It->second.Evicting_ && C.B_ % 4 != 0)
+        Found = It;
+    Oracle::Running Ended = Found->second;
+    TaskNumber Task = Found->first;
+    Oracle_.release(Task);
+    each([&](Planner &P) { P.release(Task); });
+    if (!Ended.Evicting_)
+      return;
+    ++Ended.Run_.Task_.Restarts_;
+    addPending(Ended.Run_.Task_);
+  }
+
+  void toggleDomain(DomainNumber Domain) {
+    bool WasOut = Oracle_.Out_.erase(Domain) > 0;
+    if (!WasOut)
+      Oracle_.Out_.insert(Domain);
+    if (Broken_ != Fault::HiddenDomain)
+      each([&](Planner &P) { P.setDomainAvailable(Domain, WasOut); });
+  }
+
+  void toggleWorker(const Command &C) {
+    WorkerInfo Info = pick(Oracle_.Workers_, C.A_)->second;
+    Info.Leaving_ = Info.Schedulable_ && C.B_ % 2 == 0;
+    Info.Schedulable_ = !Info.Schedulable_;
+    setWorker(Info);
+  }
+
+  void reportStart(const Command &C) {
+    if (Oracle_.Running_.empty())
+      return;
+    RunningTask Run = pick(Oracle_.Running_, C.A_)->second.Run_;
+    bool Succeeded = C.B_ % 4 == 0;
+    Oracle_.noteStart(Run.Worker_, Run.Task_.Job_, Succeeded, Now_);
+    if (Broken_ != Fault::HiddenFailures)
+      each([&](Planner &P) {
+        P.reportStart(Run.Worker_, Run.Task_.Job_, Succeeded, Now_);
+      });
+  }
+
+  void reportUsage(const Command &C) {
+    double Speed = 0.3 + C.B_ % 8 / 10.0;
+    for (const auto &[Task, Each] : Oracle_.Running_)
+      each([&, Number = Task](Planner &P) {
+        P.reportUsage({Number, Now_, {}, Speed});
+      });
+  }
+
+  std::optional<std::string> plan(std::size_t Limit) {
+    auto Made = Plan_.plan(Now_, Limit);
+    auto Again = Twin_.plan(Now_, Limit);
+    if (!std::equal(Made.begin(), Made.end(), Again.begin(), Again.end(),
+                    [](const Decision &A, const Decision &B) {
+                      return A.Kind_ == B.Kind_ && A.Task_ == B.Task_ &&
+                             A.Worker_ == B.Worker_ && A.Reason_ == B.Reason_;
+                    }))
+      return "gave other decisions for the same calls";
+    if (auto Rule = Oracle_.apply(Made, Now_, Limit))
+      return Rule;
+    for (const auto &[Number, Info] : Oracle_.Workers_)
+      if (Plan_.committed(Number) != Oracle_.committed(Number))
+        return "accounts other resources than the tasks hold";
+    if (Plan_.pendingCount() != Oracle_.Pending_.size())
+      return "counts other waiting tasks than there are";
+    return std::nullopt;
+  }
+
+  Fault Broken_;
+  Planner Plan_;
+  Planner Twin_;
+  Oracle Oracle_;
+  base::TimePoint Now_ = Start;
+  TaskNumber NextTask_ = 1;
+};
+
+Command commandFrom(uint64_t Bits) {
+  return {static_cast<int>(Bits % 13),
+          static_cast<uint32_t>(Bits >> 8 & 0xFFFF),
+          static_cast<uint32_t>(Bits >> 32 & 0xFFFF)};
+}
+
+//! Seeded runs until the oracle objects; the rule it names.
+std::optional<std::string> brokenRule(Fault Broken) {
+  base::Random Source(20261204);
+  for (int Run = 0; Run < 60; ++Run) {
+    Harness H(Broken, {});
+    for (int I = 0; I < 300; ++I)
+      if (auto Rule = H.run(commandFrom(Source.next())))
+        return Rule;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+// Guards P1, P2 and P4 and the rules on gangs, quarantine and protection, under
+// any order of calls and every policy.
+TEST_CASE("decisions keep the rules of the oracle in any order of calls") {
+  bool Passed = rc::check([] {
+    PlannerPolicy Policy;
+    Policy.DominantResourceFairness_ = *rc::gen::arbitrary<bool>();
+    Policy.IgnoreInterference_ = *rc::gen::arbitrary<bool>();
+    Harness H(Fault::None, Policy);
+    auto Commands = *rc::gen::scale(
+        4, rc::gen::container<std::vector<Command>>(rc::gen::map(
+               rc::gen::resize(1000, rc::gen::arbitrary<uint64_t>()),
+               commandFrom)));
+    for (const Command &Each : Commands) {
+      auto Rule = H.run(Each);
+      RC_ASSERT(Rule.value_or("") == "");
+    }
+  });
+  CHECK(Passed);
+}
+
+TEST_CASE("long seeded runs keep the rules of the oracle") {
+  CHECK(brokenRule(Fault::None).value_or("") == "");
+}
+
+// Guards against an oracle that accepts anything.
+TEST_CASE("the oracle names each rule that is broken on purpose") {
+  CHECK(brokenRule(Fault::WrongCapacity) ==
+        "committed a worker beyond its capacity");
+  CHECK(brokenRule(Fault::HiddenDomain) == "started in a domain that is out");
+  CHECK(brokenRule(Fault::HiddenLeaving) ==
+        "started on an unschedulable worker");
+  CHECK(brokenRule(Fault::HiddenFailures) == "started on a quarantined worker");
+  CHECK(brokenRule(Fault::SplitGangs) == "started part of a gang");
+  CHECK(brokenRule(Fault::HiddenRestarts) == "evicted a protected task");
+}
