--- a/src/partition/Ownership.h
+++ b/src/partition/Ownership.h
@@ -2,10 +2,10 @@
 
 #include "base/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -57,7 +57,7 @@
   void setLive(std::vector<LiveInstance> Live);
   void setOwners(std::map<std::string, OwnerRecord> Owners);
   //! Store lease state: when the last successful keep-alive was sent, and its
-  //! time to live.
+  //! time to live. Zero means that the store has ended the lease.
   void leaseRenewed(base::TimePoint SentAt, base::Duration TimeToLive);
   //! The store was out of reach and answers again.
   void storeRegained(base::TimePoint At);
@@ -74,18 +74,41 @@
   std::optional<std::string> preferredOwner(const std::string &Partition) const;
 
 private:
-  struct Tracked;
+  enum class Phase : uint8_t { Idle, Acquiring, Held, Yielding };
+  enum class Event : uint8_t { Acquire, Won, Lost, Yield, Yielded, Abandon };
+  struct Names;
+
+  //! What this instance does with one partition.
+  struct Tracked {
+    Phase Phase_ = Phase::Idle;
+    base::TimePoint Since_;
+    //! The owner key was read as this instance's own since the acquisition.
+    bool Seen_ = false;
+  };
+
+  bool moveTo(Tracked &Partition, Event On, base::TimePoint Now);
+  bool ownerIsOther(const std::string &Partition, Tracked &State,
+                    base::TimePoint Now) const;
+  bool mayAcquire(const std::string &Partition, const Tracked &State,
+                  base::TimePoint Now) const;
+  bool mayYield(const std::string &Partition, base::TimePoint Now) const;
+  void assign();
+  std::optional<std::size_t> bestCandidate(const PartitionInfo &Partition,
+                                           const std::vector<std::size_t> &Load,
+                                           bool SameRegion) const;
+
   std::string Self_;
   std::string Incarnation_;
   std::vector<PartitionInfo> Partitions_;
   std::vector<LiveInstance> Live_;
   std::map<std::string, OwnerRecord> Owners_;
-  std::set<std::string> Acquiring_;
-  std::set<std::string> Yielding_;
-  std::set<std::string> Held_;
+  std::map<std::string, Tracked> Tracked_;
+  //! Assignment of partitions over the live view.
+  std::map<std::string, std::string> Preferred_;
   base::TimePoint HoldOffUntil_;
   base::TimePoint LeaseEnd_;
   base::TimePoint LastYield_;
+  bool LeaseLost_ = false;
   bool Draining_ = false;
 };
 
