--- /dev/null
+++ b/src/app/Instance.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "app/ClaimService.h"
+#include "app/Context.h"
+#include "app/OperatorApi.h"
+#include "app/PartitionCalls.h"
+#include "app/PartitionHost.h"
+#include "app/PeerHub.h"
+#include "app/RequestPath.h"
+#include "app/StoreSession.h"
+#include "base/Metrics.h"
+#include "http/Client.h"
+#include "platform/InstanceList.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace crocuslead::app {
+
+//! One serving process: all its parts on one event loop.
+class Instance {
+public:
+  Instance(asio::io_context &Loop, const config::Settings &Settings,
+           const base::Clock &Clock, uint64_t Seed);
+  ~Instance();
+  Instance(const Instance &) = delete;
+  Instance &operator=(const Instance &) = delete;
+
+  //! Opens the listeners and starts the timers; fails when an address cannot be
+  //! bound.
+  base::Result<void> open();
+  //! Begins a planned stop: hands partitions over and finishes requests in
+  //! progress, then calls Done. No request is cut, unless it outlives MaxDrain.
+  void drain(std::function<void()> Done);
+
+  static constexpr auto MaxDrain = std::chrono::minutes(10);
+
+private:
+  struct Timer;
+
+  base::Result<void> openListeners();
+  void every(base::Duration Interval, std::function<void()> Task);
+  void fetchInstances();
+  void applyInstances();
+  void configChanged();
+  void updateLive();
+  void tickPeers();
+  void sendLoad();
+  void lendSlots();
+  void continueDrain();
+  void received(const std::string &Peer, link::Message Message);
+  void fetchAnswer(const std::string &Peer, const std::string &Key,
+                   std::function<void(const http::Response *)> Done);
+  CallAnswer answerCall(const std::string &Operation, const std::string &Body);
+  std::vector<std::string> notReady() const;
+  std::string metricsText();
+  std::string dump();
+
+  friend struct PeerMessageHandler;
+
+  asio::io_context &Loop_;
+  base::Random Random_;
+  Context Shared_;
+  base::MetricsRegistry Metrics_;
+  std::unique_ptr<http::Client> RequestClient_;
+  std::unique_ptr<http::Client> ControlClient_;
+  std::unique_ptr<store::KeyValueStore> Store_;
+  std::unique_ptr<platform::InstanceList> List_;
+  std::unique_ptr<platform::WorkerGateway> Workers_;
+  StoreSession Session_;
+  PeerHub Peers_;
+  ClaimService Claims_;
+  PartitionHost Host_;
+  RequestPath Requests_;
+  PartitionCalls Calls_;
+  OperatorApi Operators_;
+  std::unique_ptr<http::Server> CallerServer_;
+  std::unique_ptr<http::Server> OperatorServer_;
+  std::vector<std::unique_ptr<Timer>> Timers_;
+  platform::InstanceSnapshot Instances_;
+  bool FetchingInstances_ = false;
+  bool InstancesLoaded_ = false;
+  struct AnswerCall {
+    std::function<void(const http::Response *)> Done_;
+    base::TimePoint Deadline_;
+  };
+  std::map<uint64_t, AnswerCall> AnswerCalls_;
+  uint64_t NextAnswerCall_ = 1;
+  base::TimePoint NextLoad_;
+  std::string LastLoad_;
+  bool Draining_ = false;
+  bool LeaseRevoked_ = false;
+  base::TimePoint DrainStarted_;
+  std::function<void()> DrainDone_;
+  base::TimePoint Started_;
+};
+
+} // namespace crocuslead::app
--- /dev/null
+++ b/src/app/PartitionHost.cpp
@@ -0,0 +1,478 @@
+#include "app/PartitionHost.h"
+
+#include "app/internal/HostedPartition.h"
+#include "base/Hash.h"
+#include "base/Log.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+namespace crocuslead::app {
+
+namespace {
+
+constexpr auto OwnershipInterval = std::chrono::milliseconds(500);
+constexpr auto RecoverRetry = std::chrono::milliseconds(300);
+
+template <typename T> const T *success(const store::StoreResult<T> &Result) {
+  return std::get_if<T>(&Result);
+}
+
+partition::PartitionSummary toSummary(const link::PartitionLoad &Load) {
+  partition::PartitionSummary Out;
+  Out.Id_ = Load.Partition_;
+  Out.Free_ = {Load.FreeMilliCpu_, Load.FreeMemoryMb_, Load.FreeAccelerators_};
+  Out.Capacity_ = {Load.CapacityMilliCpu_, Load.CapacityMemoryMb_,
+                   Load.CapacityAccelerators_};
+  Out.PendingUrgent_ = Load.PendingUrgent_;
+  Out.Pending_ = Load.Pending_;
+  return Out;
+}
+
+link::PartitionLoad toLoad(const partition::PartitionSummary &Summary) {
+  link::PartitionLoad Out;
+  Out.Partition_ = Summary.Id_;
+  Out.FreeMilliCpu_ = Summary.Free_.MilliCpu_;
+  Out.FreeMemoryMb_ = Summary.Free_.MemoryMb_;
+  Out.FreeAccelerators_ = Summary.Free_.Accelerators_;
+  Out.CapacityMilliCpu_ = Summary.Capacity_.MilliCpu_;
+  Out.CapacityMemoryMb_ = Summary.Capacity_.MemoryMb_;
+  Out.CapacityAccelerators_ = Summary.Capacity_.Accelerators_;
+  Out.PendingUrgent_ = Summary.PendingUrgent_;
+  Out.Pending_ = Summary.Pending_;
+  return Out;
+}
+
+} // namespace
+
+std::string partitionOfRack(const std::string &Domain, const std::string &Rack,
+                            int PartitionsPerDomain) {
+  auto Index =
+      base::stableHash(Rack) % static_cast<uint64_t>(PartitionsPerDomain);
+  return Domain + "-" + std::to_string(Index);
+}
+
+PartitionHost::PartitionHost(const Context &Shared, StoreSession &Session,
+                             platform::WorkerGateway &Workers,
+                             ClaimService &Claims, SendToPeer Send)
+    : Shared_(Shared), Session_(Session), Workers_(Workers), Claims_(Claims),
+      Send_(std::move(Send)) {}
+
+PartitionHost::~PartitionHost() = default;
+
+void PartitionHost::rebuildPartitions() {
+  std::vector<partition::PartitionInfo> Built;
+  for (const auto &[Name, Domain] : Session_.config().configuration().Domains_)
+    for (int I = 0; I < Shared_.Settings_.PartitionsPerDomain_; ++I)
+      Built.push_back({Name + "-" + std::to_string(I), Name, Domain.Region_});
+  if (Built.size() == Partitions_.size())
+    return;
+  Partitions_ = std::move(Built);
+  Claims_.setPartitions(Partitions_);
+  if (Ownership_) {
+    Ownership_->setPartitions(Partitions_, Shared_.Clock_.now());
+    return;
+  }
+  Ownership_ = std::make_unique<partition::Ownership>(
+      Shared_.Settings_.InstanceId_, Shared_.Incarnation_, Partitions_,
+      Shared_.Clock_.now());
+  Ownership_->setLive(Live_);
+  Ownership_->setOwners(Session_.owners());
+  if (Draining_)
+    Ownership_->beginDrain();
+}
+
+void PartitionHost::configChanged() {
+  rebuildPartitions();
+  for (auto &[Id, Each] : Hosted_)
+    feed(*Each);
+}
+
+void PartitionHost::ownersChanged() {
+  if (Ownership_)
+    Ownership_->setOwners(Session_.owners());
+}
+
+void PartitionHost::leaseRenewed(base::TimePoint SentAt) {
+  if (Ownership_)
+    Ownership_->leaseRenewed(
+        SentAt, std::chrono::seconds(Shared_.Settings_.StoreLeaseSeconds_));
+}
+
+void PartitionHost::leaseLost() {
+  if (Ownership_)
+    Ownership_->leaseRenewed(Shared_.Clock_.now(), base::Duration(0));
+  std::vector<std::string> Ids = ownedIds();
+  for (const std::string &Id : Ids)
+    abandon(Id);
+  Session_.refresh();
+}
+
+void PartitionHost::storeRegained() {
+  if (Ownership_)
+    Ownership_->storeRegained(Shared_.Clock_.now());
+}
+
+void PartitionHost::setInstances(const platform::InstanceSnapshot &Snapshot) {
+  Instances_ = Snapshot;
+  for (auto &[Id, Each] : Hosted_)
+    feed(*Each);
+}
+
+void PartitionHost::setLive(std::vector<partition::LiveInstance> Live) {
+  Live_ = std::move(Live);
+  if (Ownership_)
+    Ownership_->setLive(Live_);
+}
+
+void PartitionHost::setPeerLoad(const std::string & /*Peer*/,
+                                const link::LoadSummary &Summary) {
+  for (const link::PartitionLoad &Load : Summary.Partitions_) {
+    partition::PartitionSummary &Known = PeerLoad_[Load.Partition_];
+    std::map<std::string, base::Resources> Held = std::move(Known.Held_);
+    Known = toSummary(Load);
+    for (const link::WorkspaceUse &Use : Load.Use_) {
+      base::Resources Value{Use.MilliCpu_, Use.MemoryMb_, Use.Accelerators_};
+      if (Value == base::Resources{})
+        Held.erase(Use.Workspace_);
+      else
+        Held[Use.Workspace_] = Value;
+    }
+    Known.Held_ = std::move(Held);
+  }
+}
+
+std::string PartitionHost::ownerOf(const std::string &Partition) const {
+  if (Hosted_.count(Partition) != 0)
+    return Shared_.Settings_.InstanceId_;
+  auto Found = Session_.owners().find(Partition);
+  return Found == Session_.owners().end() ? std::string()
+                                          : Found->second.Instance_;
+}
+
+bool PartitionHost::ownershipConfirmed() const {
+  return Ownership_ && Ownership_->leaseConfirmed(Shared_.Clock_.now());
+}
+
+partition::Partition *PartitionHost::owned(const std::string &Id) {
+  auto Found = Hosted_.find(Id);
+  return Found == Hosted_.end() ? nullptr : &Found->second->Partition_;
+}
+
+std::vector<std::string> PartitionHost::ownedIds() const {
+  std::vector<std::string> Out;
+  for (const auto &[Id, Each] : Hosted_)
+    Out.push_back(Id);
+  return Out;
+}
+
+void PartitionHost::tick() {
+  base::TimePoint Now = Shared_.Clock_.now();
+  if (Ownership_ && Now >= NextOwnershipStep_) {
+    NextOwnershipStep_ = Now + OwnershipInterval;
+    for (const partition::OwnershipAction &Action : Ownership_->step(Now)) {
+      if (Action.Step_ == partition::OwnershipStep::Acquire)
+        acquire(Action.Partition_);
+      else if (Action.Step_ == partition::OwnershipStep::Yield)
+        yield(Action.Partition_);
+      else
+        abandon(Action.Partition_);
+    }
+  }
+  std::vector<std::string> Ids = ownedIds();
+  for (const std::string &Id : Ids) {
+    auto Found = Hosted_.find(Id);
+    if (Found == Hosted_.end())
+      continue;
+    Hosted &Each = *Found->second;
+    if (Session_.hasContact())
+      Each.Partition_.storeContact(Session_.lastContact());
+    Each.Partition_.setPeerSummaries(otherSummaries());
+    Each.Partition_.tick(Now, Shared_.Clock_.wallNow());
+    perform(Each);
+    // perform() may have ended the partition.
+    Found = Hosted_.find(Id);
+    if (Found != Hosted_.end() && Found->second->Yielding_)
+      continueYield(*Found->second);
+  }
+}
+
+void PartitionHost::acquire(const std::string &Id) {
+  if (Session_.lease() == 0 || !Acquiring_.insert(Id).second) {
+    Ownership_->acquireFinished(Id, /*Won=*/false, Shared_.Clock_.now());
+    return;
+  }
+  base::TimePoint SentAt = Shared_.Clock_.now();
+  Session_.store().range(
+      TermPrefix + Id, "", [this, Id, SentAt](const auto &Result) {
+        const auto *Reply = success(Result);
+        if (Reply == nullptr) {
+          acquireFailed(Id);
+          return;
+        }
+        Session_.noteContact(SentAt);
+        writeOwner(Id, Reply->Values_.empty()
+                           ? 0
+                           : Reply->Values_.front().ModRevision_);
+      });
+}
+
+void PartitionHost::writeOwner(const std::string &Id, int64_t PriorEpoch) {
+  std::string OwnerKey = OwnerPrefix + Id;
+  std::string TermKey = TermPrefix + Id;
+  std::string Owner =
+      nlohmann::json{{"instance", Shared_.Settings_.InstanceId_},
+                     {"incarnation", Shared_.Incarnation_}}
+          .dump();
+  store::Txn Txn;
+  Txn.Compares_ = {{OwnerKey, store::CompareTarget::Version, 0},
+                   {TermKey, store::CompareTarget::ModRevision, PriorEpoch}};
+  Txn.Puts_ = {{OwnerKey, Owner, Session_.lease()}, {TermKey, Owner, 0}};
+  Session_.store().txn(std::move(Txn),
+                       [this, Id, PriorEpoch](const auto &Result) {
+                         if (const auto *Reply = success(Result)) {
+                           if (Reply->Succeeded_)
+                             recover(Id, Reply->Revision_, PriorEpoch);
+                           else
+                             acquireFailed(Id);
+                           return;
+                         }
+                         confirmOwner(Id, PriorEpoch);
+                       });
+}
+
+void PartitionHost::confirmOwner(const std::string &Id, int64_t PriorEpoch) {
+  Session_.store().range(
+      OwnerPrefix + Id, "", [this, Id, PriorEpoch](const auto &Result) {
+        const auto *Reply = success(Result);
+        bool Mine = Reply != nullptr && !Reply->Values_.empty() &&
+                    Reply->Values_.front().Value_.find(Shared_.Incarnation_) !=
+                        std::string::npos;
+        if (Mine)
+          recover(Id, Reply->Values_.front().CreateRevision_, PriorEpoch);
+        else
+          acquireFailed(Id);
+      });
+}
+
+void PartitionHost::recover(const std::string &Id, int64_t Epoch,
+                            int64_t PriorEpoch) {
+  std::string Prefix = PartitionPrefix + Id + "/";
+  Session_.store().range(
+      Prefix, store::prefixEnd(Prefix),
+      [this, Id, Epoch, PriorEpoch](const auto &Result) {
+        const auto *Reply = success(Result);
+        if (Reply == nullptr) {
+          // The owner key is ours already: read again until it succeeds or
+          // the lease ends.
+          auto Timer =
+              std::make_shared<asio::steady_timer>(Shared_.Loop_, RecoverRetry);
+          Timer->async_wait([this, Id, Epoch, PriorEpoch, Timer](auto) {
+            if (Session_.lease() != 0)
+              recover(Id, Epoch, PriorEpoch);
+            else
+              acquireFailed(Id);
+          });
+          return;
+        }
+        partition::PartitionSettings Settings =
+            makePartitionSettings(Shared_.Settings_, Id, Epoch);
+        auto Added = std::make_unique<Hosted>(Id, Epoch, Settings);
+        base::TimePoint Now = Shared_.Clock_.now();
+        auto Outcome = Added->Partition_.recover(Reply->Values_, Now,
+                                                 Shared_.Clock_.wallNow());
+        if (!Outcome) {
+          base::logEvent(base::LogLevel::Error, "partition-recovery-failed",
+                         {{"partition", Id}});
+          acquireFailed(Id);
+          return;
+        }
+        base::logEvent(base::LogLevel::Info, "partition-acquired",
+                       {{"partition", Id}, {"epoch", Epoch}});
+        Acquiring_.erase(Id);
+        Claims_.partitionAcquired(Id, PriorEpoch);
+        Hosted &Target = *(Hosted_[Id] = std::move(Added));
+        Ownership_->acquireFinished(Id, /*Won=*/true, Now);
+        feed(Target);
+      });
+}
+
+void PartitionHost::acquireFailed(const std::string &Id) {
+  Acquiring_.erase(Id);
+  Ownership_->acquireFinished(Id, /*Won=*/false, Shared_.Clock_.now());
+  Session_.refresh();
+}
+
+void PartitionHost::yield(const std::string &Id) {
+  auto Found = Hosted_.find(Id);
+  if (Found == Hosted_.end()) {
+    Ownership_->yieldFinished(Id);
+    return;
+  }
+  Found->second->Yielding_ = true;
+  Found->second->Partition_.beginHandover();
+}
+
+void PartitionHost::continueYield(Hosted &Target) {
+  if (Target.YieldSent_ || !Target.Partition_.isQuiescent())
+    return;
+  Target.YieldSent_ = true;
+  std::string Id = Target.Id_;
+  Claims_.handOver(Id, Target.Epoch_,
+                   Ownership_->preferredOwner(Id).value_or(""));
+  store::Txn Txn;
+  std::string OwnerKey = OwnerPrefix + Id;
+  Txn.Compares_ = {
+      {OwnerKey, store::CompareTarget::CreateRevision, Target.Epoch_}};
+  Txn.Deletes_ = {{OwnerKey, ""}};
+  // Whatever the answer, this epoch is over: the owner key is gone or ends
+  // with the lease.
+  Session_.store().txn(std::move(Txn), [this, Id](const auto &) {
+    base::logEvent(base::LogLevel::Info, "partition-yielded",
+                   {{"partition", Id}});
+    abandon(Id);
+    Ownership_->yieldFinished(Id);
+  });
+}
+
+void PartitionHost::abandon(const std::string &Id) {
+  auto Found = Hosted_.find(Id);
+  if (Found == Hosted_.end())
+    return;
+  std::unique_ptr<Hosted> Ended = std::move(Found->second);
+  Hosted_.erase(Found);
+  Claims_.partitionLost(Id);
+  base::logEvent(base::LogLevel::Info, "partition-ended", {{"partition", Id}});
+  for (auto &[Call, Done] : Ended->Calls_)
+    Done({Call,
+          base::Error{base::ErrorKind::OutcomeUnknown,
+                      "the partition moved to another instance before the "
+                      "answer was durable; repeat the call"},
+          ""});
+}
+
+void PartitionHost::submit(const std::string &Partition,
+                           const partition::JobSpec &Job, AnswerCallback Done) {
+  auto Found = Hosted_.find(Partition);
+  if (Found == Hosted_.end()) {
+    Done({0, base::Error{base::ErrorKind::NotOwner, "not the owner"}, ""});
+    return;
+  }
+  uint64_t Call = NextCall_++;
+  Found->second->Calls_[Call] = std::move(Done);
+  Found->second->Partition_.submit(Call, Job, Shared_.Clock_.now(),
+                                   Shared_.Clock_.wallNow());
+  perform(*Found->second);
+}
+
+void PartitionHost::cancel(const std::string &Partition,
+                           const std::string &JobId, AnswerCallback Done) {
+  auto Found = Hosted_.find(Partition);
+  if (Found == Hosted_.end()) {
+    Done({0, base::Error{base::ErrorKind::NotOwner, "not the owner"}, ""});
+    return;
+  }
+  uint64_t Call = NextCall_++;
+  Found->second->Calls_[Call] = std::move(Done);
+  Found->second->Partition_.cancel(Call, JobId, Shared_.Clock_.now());
+  perform(*Found->second);
+}
+
+void PartitionHost::received(const std::string & /*Peer*/,
+                             const link::TransferOffer &Message) {
+  auto Found = Hosted_.find(Message.ToPartition_);
+  if (Found == Hosted_.end())
+    return;
+  Found->second->Partition_.transferOffered(Message.FromPartition_,
+                                            Message.Record_, Message.Number_,
+                                            Shared_.Clock_.now());
+  perform(*Found->second);
+}
+
+void PartitionHost::received(const std::string & /*Peer*/,
+                             const link::TransferAccept &Message) {
+  auto Found = Hosted_.find(Message.FromPartition_);
+  if (Found == Hosted_.end())
+    return;
+  Found->second->Partition_.transferAccepted(Message.JobId_, Message.Number_,
+                                             Shared_.Clock_.now());
+  perform(*Found->second);
+}
+
+link::LoadSummary PartitionHost::loadSummary() {
+  link::LoadSummary Out;
+  for (auto &[Id, Each] : Hosted_) {
+    partition::PartitionSummary Summary = Each->Partition_.summary();
+    link::PartitionLoad Load = toLoad(Summary);
+    for (const auto &[Workspace, Held] : Summary.Held_) {
+      base::Resources &Sent = LastSentUse_[Id + "/" + Workspace];
+      if (Sent == Held)
+        continue;
+      Sent = Held;
+      Load.Use_.push_back(
+          {Workspace, Held.MilliCpu_, Held.MemoryMb_, Held.Accelerators_});
+    }
+    Out.Partitions_.push_back(std::move(Load));
+  }
+  return Out;
+}
+
+void PartitionHost::beginDrain() {
+  Draining_ = true;
+  if (Ownership_)
+    Ownership_->beginDrain();
+}
+
+PartitionHost::Hosted *PartitionHost::find(const std::string &Id,
+                                           int64_t Epoch) {
+  auto Found = Hosted_.find(Id);
+  if (Found == Hosted_.end() || Found->second->Epoch_ != Epoch)
+    return nullptr;
+  return Found->second.get();
+}
+
+std::vector<platform::InstanceEntry>
+PartitionHost::workersOf(const std::string &Partition) const {
+  std::vector<platform::InstanceEntry> Out;
+  for (const platform::InstanceEntry &Entry : Instances_.Entries_)
+    if (!Entry.AgentAddress_.empty() &&
+        partitionOfRack(Entry.Domain_, Entry.Rack_,
+                        Shared_.Settings_.PartitionsPerDomain_) == Partition)
+      Out.push_back(Entry);
+  return Out;
+}
+
+std::vector<partition::PartitionSummary> PartitionHost::otherSummaries() const {
+  std::vector<partition::PartitionSummary> Out;
+  for (const auto &[Id, Summary] : PeerLoad_)
+    if (Hosted_.count(Id) == 0)
+      Out.push_back(Summary);
+  for (const auto &[Id, Each] : Hosted_)
+    Out.push_back(Each->Partition_.summary());
+  return Out;
+}
+
+void PartitionHost::feed(Hosted &Target) {
+  base::TimePoint Now = Shared_.Clock_.now();
+  base::Resources Fleet;
+  for (const platform::InstanceEntry &Entry : Instances_.Entries_)
+    if (!Entry.AgentAddress_.empty())
+      Fleet += Entry.Capacity_;
+  Target.Partition_.configure(Session_.config().configuration(), Fleet, Now);
+  Target.Partition_.setWorkers(workersOf(Target.Id_), Now);
+  perform(Target);
+}
+
+void PartitionHost::perform(Hosted &Target) {
+  std::string Id = Target.Id_;
+  int64_t Epoch = Target.Epoch_;
+  for (partition::Action &Action : Target.Partition_.takeActions()) {
+    // An earlier action may have ended the epoch.
+    if (find(Id, Epoch) == nullptr)
+      return;
+    std::visit(ActionPerformer{*this, Id, Epoch}, Action);
+  }
+}
+
+} // namespace crocuslead::app
--- /dev/null
+++ b/src/app/PartitionHost.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "app/ClaimService.h"
+#include "app/Context.h"
+#include "app/StoreSession.h"
+#include "link/Messages.h"
+#include "partition/Ownership.h"
+#include "partition/Partition.h"
+#include "platform/InstanceList.h"
+#include "platform/WorkerGateway.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocuslead::app {
+
+//! Runs the partitions that this instance owns: performs their actions and
+//! feeds results back.
+class PartitionHost {
+public:
+  using SendToPeer =
+      std::function<bool(const std::string &Peer, const link::Message &)>;
+  using AnswerCallback = std::function<void(const partition::AnswerAction &)>;
+
+  PartitionHost(const Context &Shared, StoreSession &Session,
+                platform::WorkerGateway &Workers, ClaimService &Claims,
+                SendToPeer Send);
+  ~PartitionHost();
+  PartitionHost(const PartitionHost &) = delete;
+  PartitionHost &operator=(const PartitionHost &) = delete;
+
+  //! Call about every 50 ms.
+  void tick();
+  void configChanged();
+  void ownersChanged();
+  void leaseRenewed(base::TimePoint SentAt);
+  void leaseLost();
+  void storeRegained();
+  void setInstances(const platform::InstanceSnapshot &Snapshot);
+  void setLive(std::vector<partition::LiveInstance> Live);
+  void setPeerLoad(const std::string &Peer, const link::LoadSummary &Summary);
+
+  const std::vector<partition::PartitionInfo> &partitions() const {
+    return Partitions_;
+  }
+  //! Instance that owns the partition as last known; empty when none.
+  std::string ownerOf(const std::string &Partition) const;
+  bool ownershipConfirmed() const;
+  //! Partition of this instance, or nullptr.
+  partition::Partition *owned(const std::string &Id);
+  std::vector<std::string> ownedIds() const;
+
+  //! Done gets not-owner when the partition is lost before the answer.
+  void submit(const std::string &Partition, const partition::JobSpec &Job,
+              AnswerCallback Done);
+  void cancel(const std::string &Partition, const std::string &JobId,
+              AnswerCallback Done);
+
+  void received(const std::string &Peer, const link::TransferOffer &Message);
+  void received(const std::string &Peer, const link::TransferAccept &Message);
+  //! Load of the owned partitions, for the peers.
+  link::LoadSummary loadSummary();
+
+  void beginDrain();
+  bool drained() const { return Hosted_.empty() && Acquiring_.empty(); }
+
+private:
+  struct Hosted;
+  struct ActionPerformer;
+
+  void rebuildPartitions();
+  void acquire(const std::string &Id);
+  void writeOwner(const std::string &Id, int64_t PriorEpoch);
+  void confirmOwner(const std::string &Id, int64_t PriorEpoch);
+  void recover(const std::string &Id, int64_t Epoch, int64_t PriorEpoch);
+  void acquireFailed(const std::string &Id);
+  void yield(const std::string &Id);
+  void continueYield(Hosted &Target);
+  void abandon(const std::string &Id);
+  void feed(Hosted &Target);
+  void perform(Hosted &Target);
+  Hosted *find(const std::string &Id, int64_t Epoch);
+  std::vector<platform::InstanceEntry>
+  workersOf(const std::string &Partition) const;
+  std::vector<partition::PartitionSummary> otherSummaries() const;
+
+  const Context &Shared_;
+  StoreSession &Session_;
+  platform::WorkerGateway &Workers_;
+  ClaimService &Claims_;
+  SendToPeer Send_;
+  std::vector<partition::PartitionInfo> Partitions_;
+  std::unique_ptr<partition::Ownership> Ownership_;
+  std::vector<partition::LiveInstance> Live_;
+  std::map<std::string, std::unique_ptr<Hosted>> Hosted_;
+  std::set<std::string> Acquiring_;
+  platform::InstanceSnapshot Instances_;
+  std::map<std::string, partition::PartitionSummary> PeerLoad_;
+  std::map<std::string, base::Resources> LastSentUse_;
+  base::TimePoint NextOwnershipStep_;
+  bool Draining_ = false;
+  uint64_t NextCall_ = 1;
+};
+
+//! Partition whose workers include this rack.
+std::string partitionOfRack(const std::string &Domain, const std::string &Rack,
+                            int PartitionsPerDomain);
+
+} // namespace crocuslead::app
--- a/src/partition/Ownership.cpp
+++ b/src/partition/Ownership.cpp
@@ -47,14 +47,23 @@
                      std::vector<PartitionInfo> Partitions,
                      base::TimePoint Started)
     : Self_(std::move(Self)), Incarnation_(std::move(Incarnation)),
-      Partitions_(std::move(Partitions)), HoldOffUntil_(Started + HoldOff),
-      LastYield_(Started - YieldInterval) {
+      HoldOffUntil_(Started + HoldOff), LastYield_(Started - YieldInterval) {
+  setPartitions(std::move(Partitions), Started);
+}
+
+void Ownership::setPartitions(std::vector<PartitionInfo> Partitions,
+                              base::TimePoint Now) {
+  Partitions_ = std::move(Partitions);
   std::sort(Partitions_.begin(), Partitions_.end(),
             [](const PartitionInfo &A, const PartitionInfo &B) {
               return A.Id_ < B.Id_;
             });
-  for (const PartitionInfo &Partition : Partitions_)
-    Tracked_[Partition.Id_].Since_ = Started - AcquireRetry;
+  for (const PartitionInfo &Partition : Partitions_) {
+    auto [Found, New] = Tracked_.try_emplace(Partition.Id_);
+    if (New)
+      Found->second.Since_ = Now - AcquireRetry;
+  }
+  assign();
 }
 
 void Ownership::setLive(std::vector<LiveInstance> Live) {
--- a/src/partition/Ownership.h
+++ b/src/partition/Ownership.h
@@ -54,6 +54,9 @@
   Ownership(std::string Self, std::string Incarnation,
             std::vector<PartitionInfo> Partitions, base::TimePoint Started);
 
+  //! Replaces the list of partitions; what is known of those that stay is kept.
+  void setPartitions(std::vector<PartitionInfo> Partitions,
+                     base::TimePoint Now);
   void setLive(std::vector<LiveInstance> Live);
   void setOwners(std::map<std::string, OwnerRecord> Owners);
   //! Store lease state: when the last successful keep-alive was sent, and its
