Add the live view of peers

Cause: claims in a store outage, slot ownership and configuration pulls need to know which peers are alive and what they say of the store. Change: Membership sends one ping per peer and interval, answers pings at the next tick and keeps the evidence of store loss by the send time of the answered ping. Without store contact it pings at half the interval: with a 2 s interval and 2 s of validity the evidence lapsed for one round trip in every interval.

--- a/src/member/Membership.h
+++ b/src/member/Membership.h
@@ -44,7 +44,8 @@
   Membership(std::string Self, std::vector<PeerInfo> Peers,
              MembershipTimes Times = {});
 
-  //! What this instance says of itself in the next pings and pongs.
+  //! What this instance says of itself in the next pings and pongs. Call it
+  //! right before tick(): a peer takes a pong as the state after its ping.
   void setOwnState(int64_t ConfigRevision, int64_t StoreContactAgeMs,
                    bool Draining, uint32_t SlotDemand);
 
@@ -55,16 +56,20 @@
   void received(const std::string &Peer, const std::string &Incarnation,
                 const link::Pong &Message, base::TimePoint Now);
 
-  //! Messages to send now: (peer, message).
+  //! Messages to send now: (peer, message). Holds the pongs to the pings that
+  //! arrived since the last call, so call it after a ping as well. While this
+  //! instance has no store contact it pings twice as often: at the normal
+  //! interval the evidence would lapse between the ping and its pong.
   std::vector<std::pair<std::string, link::Message>> tick(base::TimePoint Now);
 
   std::vector<PeerView> peers(base::TimePoint Now) const;
   bool isAlive(const std::string &Peer, base::TimePoint Now) const;
   //! True when every configured peer answered a recent ping that it has no
   //! store contact either. LossAgeMs is the age from which a peer counts as
-  //! without contact.
+  //! without contact. Says nothing of this instance's own contact.
   bool storeLostEverywhere(base::TimePoint Now, int64_t LossAgeMs) const;
-  //! A peer with a newer configuration to pull from, or empty.
+  //! The connected peer with the newest configuration, if it is newer than
+  //! OwnRevision, to pull from; or empty.
   std::string newerConfigPeer(int64_t OwnRevision, base::TimePoint Now) const;
 
 private:
@@ -80,9 +85,19 @@
     base::TimePoint EvidenceSentAt_;
     int64_t EvidenceAgeMs_ = 0;
     bool HasEvidence_ = false;
+    //! Sequence of the newest ping that waits for a pong; 0 for none.
+    uint64_t PongDue_ = 0;
   };
 
   link::Ping ownPing(uint64_t Sequence) const;
+  link::Pong ownPong(uint64_t Sequence) const;
+  base::Duration pingInterval() const;
+  template <typename Report>
+  Peer *heard(const std::string &Peer, const std::string &Incarnation,
+              const Report &Message, base::TimePoint Now);
+  bool isAlive(const Peer &Other, base::TimePoint Now) const;
+  bool hasLostStore(const Peer &Other, base::TimePoint Now,
+                    int64_t LossAgeMs) const;
 
   std::string Self_;
   MembershipTimes Times_;
