Keep HTTP connections out of responders

Cause: a responder that outlived the event loop destroyed the RESTinio connection, and with it a timer, after the loop's timer service had gone. AddressSanitizer reports it as a use after free in the case "a server and its open connections can be destroyed in any order".

Change: the registry owns the connections until they close and lets go of them when the server closes; responders have weak references. Chunks are framed by the responder, since RESTinio's builder would keep the connection.

Conclusion: a responder may outlive server, client and loop.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -12,13 +12,12 @@
 
 namespace internal {
 
-void ConnectionRegistry::attach(
-    restinio::tcp_connection_ctx_weak_handle_t Handle) {
-  if (auto Connection = Handle.lock()) {
-    auto It = Entries_.find(Connection->connection_id());
-    if (It != Entries_.end())
-      It->second.Handle_ = std::move(Handle);
-  }
+void ConnectionRegistry::attach(restinio::tcp_connection_ctx_handle_t Handle) {
+  if (!Handle)
+    return;
+  auto It = Entries_.find(Handle->connection_id());
+  if (It != Entries_.end())
+    It->second.Handle_ = std::move(Handle);
 }
 
 void ConnectionRegistry::addResponder(
@@ -57,10 +56,12 @@
 void ConnectionRegistry::closeAll() {
   constexpr auto NoRequest = std::numeric_limits<restinio::request_id_t>::max();
   auto All = Entries_;
+  for (auto &[Id, One] : Entries_)
+    One.Handle_.reset();
   for (auto &[Id, One] : All) {
     auto Connection =
         std::static_pointer_cast<restinio::impl::connection_base_t>(
-            One.Handle_.lock());
+            std::move(One.Handle_));
     if (Connection)
       Connection->write_response_parts(
           NoRequest,
--- a/src/http/ServerResponder.cpp
+++ b/src/http/ServerResponder.cpp
@@ -78,7 +78,7 @@
 template <typename Builder>
 Builder ServerResponder::makeBuilder(int Status, const Headers &AllHeaders) {
   auto Code = restinio::http_status_code_t(static_cast<uint16_t>(Status));
-  Builder Made({Code, reasonPhrase(Status)}, Connection_, RequestId_,
+  Builder Made({Code, reasonPhrase(Status)}, Connection_.lock(), RequestId_,
                keepAlive(AllHeaders));
   for (const auto &[Name, Value] : AllHeaders)
     if (!isFramingHeader(Name) && isValidHeader(Name, Value))
@@ -88,7 +88,6 @@
 
 void ServerResponder::end() {
   Ended_ = true;
-  Stream_.reset();
   Connection_.reset();
   ClosedHandler_ = nullptr;
   Registry_->removeResponder(ConnectionId_);
@@ -124,30 +123,52 @@
       sendWhole(std::move(Answer));
       return;
     }
-    Stream_.emplace(makeBuilder<ChunkedBuilder>(Status, AllHeaders));
-    Stream_->flush();
+    KeepAlive_ = keepAlive(AllHeaders);
+    makeBuilder<ChunkedBuilder>(Status, AllHeaders).flush();
   });
 }
 
+// A builder kept for the whole stream would keep the connection, which must not
+// outlive the event loop; the chunks are therefore framed here.
 void ServerResponder::write(std::string Piece) {
-  if (!usable() || !Stream_ || Piece.empty())
+  if (!usable() || !Begun_ || Piece.empty())
     return;
   guarded([&] {
-    Stream_->append_chunk(std::move(Piece));
-    Stream_->flush();
+    restinio::writable_items_container_t Items;
+    Items.emplace_back(fmt::format("{:X}\r\n", Piece.size()));
+    Items.emplace_back(std::move(Piece));
+    Items.emplace_back(restinio::const_buffer("\r\n"));
+    writePart(std::move(Items),
+              restinio::response_parts_attr_t::not_final_parts, KeepAlive_);
   });
 }
 
 void ServerResponder::finish() {
-  if (!usable() || !Stream_)
+  if (!usable() || !Begun_)
     return;
   guarded([this] {
-    ChunkedBuilder Builder = std::move(*Stream_);
-    end();
-    Builder.done();
+    restinio::writable_items_container_t Items;
+    Items.emplace_back(restinio::const_buffer("0\r\n\r\n"));
+    bool KeepAlive = KeepAlive_ && !Registry_->Draining_;
+    writePart(std::move(Items), restinio::response_parts_attr_t::final_parts,
+              KeepAlive);
   });
 }
 
+void ServerResponder::writePart(restinio::writable_items_container_t Items,
+                                restinio::response_parts_attr_t Part,
+                                bool KeepAlive) {
+  using restinio::response_connection_attr_t;
+  auto Connection = Connection_.lock();
+  if (Part == restinio::response_parts_attr_t::final_parts)
+    end();
+  auto Attribute = KeepAlive ? response_connection_attr_t::connection_keepalive
+                             : response_connection_attr_t::connection_close;
+  Connection->write_response_parts(
+      RequestId_, restinio::response_output_flags_t{Part, Attribute},
+      restinio::write_group_t{std::move(Items)});
+}
+
 void ServerResponder::abort() {
   if (usable())
     guarded([this] { closeConnection(); });
@@ -157,14 +178,7 @@
 // queued and close the connection; without the last chunk the caller sees a
 // truncated answer.
 void ServerResponder::closeConnection() {
-  auto Connection = Connection_;
-  end();
-  Connection->write_response_parts(
-      RequestId_,
-      restinio::response_output_flags_t{
-          restinio::response_parts_attr_t::final_parts,
-          restinio::response_connection_attr_t::connection_close},
-      restinio::write_group_t{restinio::writable_items_container_t{}});
+  writePart({}, restinio::response_parts_attr_t::final_parts, false);
 }
 
 void ServerResponder::onClosed(std::function<void()> Handler) {
@@ -183,7 +197,6 @@
   auto Handler = std::move(ClosedHandler_);
   Ended_ = true;
   CallerGone_ = !Handler;
-  Stream_.reset();
   Connection_.reset();
   ClosedHandler_ = nullptr;
   if (Handler)
--- a/src/http/internal/ServerResponder.h
+++ b/src/http/internal/ServerResponder.h
@@ -4,8 +4,6 @@
 
 #include "http/Server.h"
 
-#include <optional>
-
 namespace crocuslead::http::internal {
 
 //! The answer to one request of a RESTinio connection.
@@ -39,14 +37,18 @@
   template <typename Builder>
   Builder makeBuilder(int Status, const Headers &AllHeaders);
   bool keepAlive(const Headers &AllHeaders) const;
-  bool usable() const { return !Ended_ && Connection_ && !Registry_->Closed_; }
+  bool usable() const {
+    return !Ended_ && !Registry_->Closed_ && !Connection_.expired();
+  }
   template <typename Action> void guarded(Action Run) noexcept;
   void end();
   void sendWhole(Response Answer);
   void closeConnection();
+  void writePart(restinio::writable_items_container_t Items,
+                 restinio::response_parts_attr_t Part, bool KeepAlive);
 
   std::shared_ptr<ConnectionRegistry> Registry_;
-  restinio::impl::connection_handle_t Connection_;
+  std::weak_ptr<restinio::impl::connection_base_t> Connection_;
   restinio::connection_id_t ConnectionId_;
   restinio::request_id_t RequestId_;
   bool KeepAlive_;
@@ -54,7 +56,6 @@
   bool Begun_ = false;
   bool Ended_ = false;
   bool CallerGone_ = false;
-  std::optional<ChunkedBuilder> Stream_;
   std::function<void()> ClosedHandler_;
 };
 
--- a/src/http/internal/ServerTraits.h
+++ b/src/http/internal/ServerTraits.h
@@ -23,12 +23,12 @@
   std::size_t size() const { return Entries_.size(); }
 
   void opened(restinio::connection_id_t Id) { Entries_[Id]; }
-  void attach(restinio::tcp_connection_ctx_weak_handle_t Handle);
+  void attach(restinio::tcp_connection_ctx_handle_t Handle);
   void addResponder(restinio::connection_id_t Id,
                     std::weak_ptr<ServerResponder> Responder);
   void removeResponder(restinio::connection_id_t Id);
   void closed(restinio::connection_id_t Id) noexcept;
-  //! Closes every connection at once.
+  //! Closes every connection at once and lets go of it.
   void closeAll();
 
   //! Set when the server accepts no more connections: answers then ask callers
@@ -39,7 +39,10 @@
 
 private:
   struct Entry {
-    restinio::tcp_connection_ctx_weak_handle_t Handle_;
+    //! Keeps the connection alive while RESTinio neither reads nor writes, as
+    //! with a full pipeline. Responders have weak references, because they may
+    //! outlive the event loop.
+    restinio::tcp_connection_ctx_handle_t Handle_;
     std::vector<std::weak_ptr<ServerResponder>> Responders_;
   };
 
@@ -102,7 +105,7 @@
 
     void schedule(restinio::tcp_connection_ctx_weak_handle_t Handle) {
       if (Registry_) {
-        Registry_->attach(Handle);
+        Registry_->attach(Handle.lock());
         Registry_.reset();
       }
       Inner_.schedule(std::move(Handle));
--- a/tests/http/Server.tests.cpp
+++ b/tests/http/Server.tests.cpp
@@ -274,11 +274,12 @@
     CHECK_FALSE(http::openServer(Loop_, Address, Port, {}, {}));
 }
 
-TEST_CASE("a server and its open connections can be destroyed in any order") {
-  for (bool LoopFirst : {false, true}) {
+// Guards against connections that outlive the event loop.
+TEST_CASE("a responder may outlive its server, the client and the loop") {
+  for (bool Begun : {false, true}) {
+    std::vector<std::shared_ptr<http::Responder>> Held;
     auto Loop = std::make_unique<asio::io_context>();
     auto Client = http::makeClient(*Loop, 0);
-    std::vector<std::shared_ptr<http::Responder>> Held;
     auto Opened =
         http::openServer(*Loop, "127.0.0.1", 0, {},
                          [&](auto, auto R) { Held.push_back(std::move(R)); });
@@ -287,10 +288,30 @@
     Request.Url_ = "http://127.0.0.1:" + std::to_string((*Opened)->port());
     auto Running = Client->send(Request, [](auto) {});
     runUntil(*Loop, [&] { return Held.size() == 1; });
-    if (LoopFirst)
-      Held.clear();
+    if (Begun)
+      Held[0]->begin(200, {});
     Opened->reset();
     Client.reset();
     Loop.reset();
+    Held[0]->write("late");
+    Held[0]->send({});
   }
 }
+
+// With two requests of one connection in progress nothing is read from it, so
+// nothing but the registry keeps the connection.
+TEST_CASE_FIXTURE(Fixture, "pipelined requests get their answers in order") {
+  openHolding();
+  asio::ip::tcp::socket Peer(Loop_);
+  Peer.connect({asio::ip::address_v4::loopback(), Server_->port()});
+  asio::write(Peer, asio::buffer(std::string(
+                        "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")));
+  runUntil(Loop_, [&] { return Held_.size() == 2; });
+  Held_[1]->send({200, {}, "second"});
+  Held_[0]->send({200, {}, "first"});
+  std::string Got;
+  asio::async_read_until(Peer, asio::dynamic_buffer(Got), "second",
+                         [](auto, std::size_t) {});
+  runUntil(Loop_, [&] { return Got.find("second") != std::string::npos; });
+  CHECK(Got.find("first") < Got.find("second"));
+}
