Accept both spellings of the store protocol in the stand-in

Cause: the JSON mapping allows snake case and camel case; the adapter sends camel case. Change: the stand-in finds fields in both forms; its options are declared to docopt. Figures: before, a write had no effect; after, configuration keys are stored.

--- a/src/app/Instance.cpp
+++ b/src/app/Instance.cpp
@@ -53,7 +53,7 @@
       Store_(store::makeEtcdStore(*ControlClient_, Loop, Settings.StoreUrl_)),
       List_(platform::makeHttpInstanceList(*ControlClient_,
                                            Settings.InstanceListUrl_)),
-      Workers_(platform::makeHttpWorkerGateway(*ControlClient_)),
+      Workers_(platform::makeHttpWorkerGateway(*ControlClient_, {})),
       Session_(Shared_, *Store_),
       Peers_(Shared_,
              [this](const std::string &Peer, link::Message Message) {
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -34,6 +34,9 @@
 idempotency keys how often each ran, GET /starts?domain=NAME&since=UNIX_MS a count of starts.
 
 Options:
+  --port PORT       Port to listen on.
+  --first-port PORT  Port of the first worker.
+  --service NAME    Service that the workers serve.
   --cpu-milli N     Thousandths of a core [default: 16000].
   --memory-mb N     Megabytes of memory [default: 60000].
   --accelerators N  Accelerators [default: 0].
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -2,6 +2,7 @@
 
 #include "store/internal/Base64.h"
 
+#include <cctype>
 #include <chrono>
 
 namespace crocuslead::standins {
@@ -12,16 +13,34 @@
 using store::internal::decodeBase64;
 using store::internal::encodeBase64;
 
-int64_t number(const json &Body, const char *Field) {
-  auto Found = Body.find(Field);
-  if (Found == Body.end())
+//! Finds a field by its name in the protocol definition or in the camel-case
+//! form of its JSON mapping; both are valid.
+const json *field(const json &Body, const std::string &Name) {
+  auto Found = Body.find(Name);
+  if (Found != Body.end())
+    return &*Found;
+  std::string Camel;
+  for (std::size_t I = 0; I < Name.size(); ++I)
+    Camel += Name[I] == '_' ? static_cast<char>(std::toupper(
+                                  static_cast<unsigned char>(Name[++I])))
+                            : Name[I];
+  Found = Body.find(Camel);
+  return Found == Body.end() ? nullptr : &*Found;
+}
+
+int64_t number(const json &Body, const char *Name) {
+  const json *Found = field(Body, Name);
+  if (Found == nullptr)
     return 0;
   return Found->is_string() ? std::stoll(Found->get<std::string>())
                             : Found->get<int64_t>();
 }
 
-std::string bytes(const json &Body, const char *Field) {
-  return decodeBase64(Body.value(Field, std::string())).value_or("");
+std::string bytes(const json &Body, const char *Name) {
+  const json *Found = field(Body, Name);
+  return Found == nullptr
+             ? std::string()
+             : decodeBase64(Found->get<std::string>()).value_or("");
 }
 
 bool inRange(const std::string &Key, const std::string &Begin,
@@ -130,7 +149,8 @@
 
 void StoreStandin::watch(const json &Body,
                          const std::shared_ptr<http::Responder> &Out) {
-  const json Create = Body.value("create_request", json::object());
+  const json *Found = field(Body, "create_request");
+  const json Create = Found == nullptr ? json::object() : *Found;
   Watcher Added{bytes(Create, "key"), bytes(Create, "range_end"), Out};
   Out->begin(200, {{"Content-Type", "application/json"}});
   Out->write(
@@ -188,13 +208,11 @@
   if (!Operations.empty())
     ++Revision_;
   for (const json &Each : Operations) {
-    if (Each.contains("request_put")) {
-      const json &Put = Each["request_put"];
-      put(bytes(Put, "key"), bytes(Put, "value"), number(Put, "lease"), Events);
-    } else if (Each.contains("request_delete_range")) {
-      const json &Delete = Each["request_delete_range"];
-      erase(bytes(Delete, "key"), bytes(Delete, "range_end"), Events);
-    }
+    if (const json *Put = field(Each, "request_put"))
+      put(bytes(*Put, "key"), bytes(*Put, "value"), number(*Put, "lease"),
+          Events);
+    else if (const json *Delete = field(Each, "request_delete_range"))
+      erase(bytes(*Delete, "key"), bytes(*Delete, "range_end"), Events);
   }
   publish(Events);
   return {{"header", header()}, {"succeeded", true}};
