Reclaim shares with fewer evictions

Priority lent capacity ahead of workspaces below their share, which then took it back, and batch work evicted for room that was about to come free. Change: a workspace below its share goes before any above it, and priority weighs only within each group. Batch work waits 10 s before it has tasks evicted.

--- a/bench/ScheduleWork.h
+++ b/bench/ScheduleWork.h
@@ -3,6 +3,7 @@
 #include "base/Random.h"
 #include "schedule/Planner.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <deque>
@@ -17,11 +18,11 @@
 public:
   //! Sizes follow the requirements: per 1,100 workers 5,300 latency-critical
   //! and 7,600 batch tasks of 140 workspaces.
-  Work(schedule::PlannerPolicy Policy, std::size_t Workers, uint64_t Seed,
-       bool Reserve = true);
+  Work(schedule::PlannerPolicy Policy, std::size_t Workers, uint64_t Seed);
 
   //! Starts the full number of tasks.
   void fill();
+  void learn();
   //! Ends some batch tasks and adds as many, one in ten urgent.
   void churn(std::size_t Count);
   void addUrgent(std::size_t Count);
@@ -41,10 +42,15 @@
   //! reports it 10 s late, every 20 s for each worker.
   void work(base::Duration Step);
 
-  std::size_t runningCount() const { return Running_.size(); }
+  //! A copy of the running tasks, for a planner of its own.
+  std::vector<schedule::RunningTask> running() const;
+  const std::vector<schedule::WorkerInfo> &workers() const { return Infos_; }
   double urgentDelay(double Quantile) const;
   std::size_t urgentWaiting() const { return UrgentWaiting_; }
   std::size_t evictions() const { return Evictions_; }
+  std::size_t evictionsFor(schedule::Reason Why) const {
+    return EvictionsFor_[static_cast<std::size_t>(Why)];
+  }
   double batchHours() const { return BatchSeconds_ / 3600; }
   double lostHours() const { return LostSeconds_ / 3600; }
   double meanSlowdown() const;
@@ -80,6 +86,7 @@
   base::Random Source_;
   schedule::Planner Plan_;
   std::size_t Workers_;
+  std::vector<schedule::WorkerInfo> Infos_;
   base::TimePoint Now_{std::chrono::hours(1)};
   base::Resources Fleet_;
   std::vector<double> Shares_;
@@ -97,6 +104,7 @@
   std::vector<double> Delays_;
   std::size_t UrgentWaiting_ = 0;
   std::size_t Evictions_ = 0;
+  std::array<std::size_t, 16> EvictionsFor_{};
   double BatchSeconds_ = 0;
   double LostSeconds_ = 0;
   std::vector<std::size_t> Slowdowns_;
--- a/src/schedule/internal/Evictor.cpp
+++ b/src/schedule/internal/Evictor.cpp
@@ -13,6 +13,9 @@
 // Searches for victims in one plan; bounds its cost when much work waits.
 constexpr std::size_t UrgentSearches = 32;
 constexpr std::size_t ReclaimSearches = 16;
+// Batch work below its share gets the next capacity that comes free, so it
+// waits this long for it before it has tasks evicted.
+constexpr std::chrono::seconds ReclaimGrace(10);
 // A shape without victims waits this long, so that others get a search.
 constexpr std::chrono::seconds ClaimBackoff(1);
 
@@ -57,6 +60,11 @@
          State_.Shares_.entitlement(Of);
 }
 
+bool Evictor::inGrace(const PendingTask &Task) const {
+  return Task.Class_ == TaskClass::Batch &&
+         State_.Now_ < Task.Submitted_ + ReclaimGrace;
+}
+
 std::optional<Evictor::Offer> Evictor::bestOffer(const PendingTask &Task) {
   // Room that comes free by evictions already issued costs nothing.
   for (WorkerNumber Number : State_.Fleet_.evictingWorkers()) {
@@ -130,7 +138,8 @@
     }
     if (Unit.empty())
       continue;
-    if (Why == Reason::ReclaimedShare && !isEntitled(Unit.front(), Sum))
+    if (Why == Reason::ReclaimedShare &&
+        (!isEntitled(Unit.front(), Sum) || inGrace(Unit.front())))
       return false;
     Searches -= std::min(Searches, Unit.size());
     if (!claimUnit(Unit, Why))
--- a/src/schedule/internal/Evictor.h
+++ b/src/schedule/internal/Evictor.h
@@ -39,6 +39,7 @@
   bool claimShape(Shape &Target, Reason Why, std::size_t &Searches);
   bool claimUnit(const std::vector<PendingTask> &Unit, Reason Why);
   bool isEntitled(const PendingTask &Task, const base::Resources &Request);
+  bool inGrace(const PendingTask &Task) const;
   std::optional<Offer> bestOffer(const PendingTask &Task);
   std::optional<Offer> offerOf(const PendingTask &Task, Worker &Target);
   std::vector<Candidate> candidates(const PendingTask &Task, Worker &Target);
--- a/src/schedule/internal/Shares.cpp
+++ b/src/schedule/internal/Shares.cpp
@@ -12,6 +12,7 @@
 // Ten steps of priority double the weight of a workspace.
 constexpr double PriorityDoubling = 10.0;
 constexpr int PriorityLimit = 100;
+constexpr double MostWeight = 1024;
 
 } // namespace
 
@@ -43,8 +44,12 @@
   double Weight =
       std::exp2(std::clamp(Of.Share_.Priority_, -PriorityLimit, PriorityLimit) /
                 PriorityDoubling);
-  return (Used + SmallestShare) /
-         (std::max(Of.Share_.AgreedShare_, SmallestShare) * Weight);
+  double Ratio =
+      (Used + SmallestShare) / std::max(Of.Share_.AgreedShare_, SmallestShare);
+  // Priority weighs among those below their share, and among those above, but
+  // lends no capacity ahead of a workspace below its share, which would only
+  // take it back by evictions.
+  return Ratio < 1 ? Ratio / Weight / MostWeight : 1 + Ratio / Weight;
 }
 
 double Shares::shareAfter(const Account &Of, const base::Resources &Plus,
--- a/tests/schedule/Planner.tests.cpp
+++ b/tests/schedule/Planner.tests.cpp
@@ -115,6 +115,35 @@
   CHECK(Plan.whyPending(1 + 31) == Reason::NoRoom);
 }
 
+// Guards against priority lending capacity that its owner then takes back by
+// evictions: a workspace below its share goes before any above.
+TEST_CASE("priority lends no capacity ahead of a workspace below its share") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 10000));
+  auto Parts = shares({0.5, 0.5});
+  Parts[0].Priority_ = 10;
+  Plan.setWorkspaces(Parts, {10000, 40000, 0});
+  for (TaskNumber I = 1; I <= 20; ++I)
+    Plan.addPending(batch(I, 1000, I <= 10 ? 1 : 2));
+  std::map<bool, int> Started;
+  for (const Decision &Each : starts(Plan, Start))
+    ++Started[Each.Task_ <= 10];
+  CHECK(Started == std::map<bool, int>{{false, 5}, {true, 5}});
+  CHECK(evictions(Plan, Start + minutes(1)).empty());
+}
+
+// Guards against evictions for room that would come free by itself.
+TEST_CASE("batch work waits ten seconds for its share before it evicts") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 2000));
+  Plan.setWorkspaces(shares({0, 1}), {2000, 8000, 0});
+  Plan.occupy({batch(1), 1, Start, Start});
+  Plan.occupy({batch(2), 1, Start, Start});
+  Plan.addPending(batch(10, 1000, 2));
+  CHECK(evictions(Plan, Start + seconds(9)).empty());
+  CHECK(evictions(Plan, Start + seconds(10)).size() == 1);
+}
+
 TEST_CASE("the cheapest task is evicted and a protected one never") {
   Planner Plan;
   Plan.upsertWorker(worker(1, 3000));
