Return a removed worker from quarantine

Cause: a quarantined worker that was removed while it had tasks, and then added again, kept its quarantine but lost its probe, and never got a start again. Failures that it reported after its removal also counted against the worker that next took its number. Change: removal clears the worker's health, and failures of a removed worker are ignored.

--- a/src/schedule/Planner.cpp
+++ b/src/schedule/Planner.cpp
@@ -156,7 +156,7 @@
   if (Target == nullptr)
     return;
   State.dropReservationsOn(*Target);
-  State.Health_.forget(Number);
+  State.Health_.forget(*Target);
   State.Ladder_.forget(Number);
   State.Fleet_.remove(Number);
 }
@@ -218,7 +218,8 @@
                           base::TimePoint Now) {
   auto &State = Impl_->State_;
   Worker *Target = State.Fleet_.find(Number);
-  if (Target == nullptr ||
+  // A removed worker fails its last starts because it ends.
+  if (Target == nullptr || (Target->Removed_ && !Succeeded) ||
       !State.Health_.noteStart(*Target, Job, Succeeded, Now))
     return;
   State.Fleet_.refresh(*Target);
--- a/src/schedule/internal/WorkerHealth.cpp
+++ b/src/schedule/internal/WorkerHealth.cpp
@@ -58,10 +58,8 @@
   WorkerNumber Number = Target.Info_.Worker_;
   if (Succeeded) {
     FailedJobs_.erase(Job);
-    forget(Number);
     bool Changed = Target.Quarantined_;
-    Target.Quarantined_ = Target.ProbeOpen_ = false;
-    Target.FailureStreak_ = 0;
+    forget(Target);
     return Changed;
   }
   noteJobFailure(Job, Number);
@@ -120,11 +118,13 @@
   return Due;
 }
 
-void WorkerHealth::forget(WorkerNumber Worker) {
-  auto Found = Records_.find(Worker);
+void WorkerHealth::forget(Worker &Target) {
+  Target.Quarantined_ = Target.ProbeOpen_ = false;
+  Target.FailureStreak_ = 0;
+  auto Found = Records_.find(Target.Info_.Worker_);
   if (Found == Records_.end())
     return;
-  Probes_.erase({Found->second.ProbeAt_, Worker});
+  Probes_.erase({Found->second.ProbeAt_, Target.Info_.Worker_});
   Records_.erase(Found);
 }
 
--- a/src/schedule/internal/WorkerHealth.h
+++ b/src/schedule/internal/WorkerHealth.h
@@ -22,7 +22,8 @@
   void noteRelease(Worker &Target, TaskNumber Task);
   //! Workers whose next probe is due.
   std::vector<WorkerNumber> takeDue(base::TimePoint Now);
-  void forget(WorkerNumber Worker);
+  //! Clears what is known of a worker and returns it from quarantine.
+  void forget(Worker &Target);
 
 private:
   struct Record {
--- a/tests/schedule/Planner.tests.cpp
+++ b/tests/schedule/Planner.tests.cpp
@@ -353,6 +353,32 @@
   CHECK(starts(Plan, Start + seconds(93)).size() == 1);
 }
 
+// Guards against a replaced worker staying quarantined without a probe.
+TEST_CASE("a worker that was removed with tasks returns from quarantine") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1));
+  Plan.occupy({batch(1), 1, Start, Start});
+  for (JobNumber Job : {5, 6, 7})
+    Plan.reportStart(1, Job, false, Start);
+  Plan.removeWorker(1);
+  Plan.upsertWorker(worker(1));
+  Plan.addPending(urgent(2));
+  CHECK(starts(Plan, Start).size() == 1);
+}
+
+// Guards against a crash or a leak of room in recovery after a takeover.
+TEST_CASE("a task may be known before its worker") {
+  Planner Plan;
+  Plan.occupy({batch(1, 6000), 1, Start, Start});
+  Plan.addPending(batch(2, 3000));
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.upsertWorker(worker(1, 8000));
+  CHECK(Plan.committed(1).MilliCpu_ == 6000);
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.release(1);
+  CHECK(starts(Plan, Start).size() == 1);
+}
+
 TEST_CASE("jobs that fail everywhere do not count against workers") {
   Planner Plan;
   for (WorkerNumber I = 1; I <= 4; ++I)
