--- a/tests/schedule/Planner.tests.cpp
+++ b/tests/schedule/Planner.tests.cpp
@@ -115,6 +115,35 @@
   CHECK(Plan.whyPending(1 + 31) == Reason::NoRoom);
 }
 
+// Guards against priority lending capacity that its owner then takes back by
+// evictions: a workspace below its share goes before any above.
+TEST_CASE("priority lends no capacity ahead of a workspace below its share") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 10000));
+  auto Parts = shares({0.5, 0.5});
+  Parts[0].Priority_ = 10;
+  Plan.setWorkspaces(Parts, {10000, 40000, 0});
+  for (TaskNumber I = 1; I <= 20; ++I)
+    Plan.addPending(batch(I, 1000, I <= 10 ? 1 : 2));
+  std::map<bool, int> Started;
+  for (const Decision &Each : starts(Plan, Start))
+    ++Started[Each.Task_ <= 10];
+  CHECK(Started == std::map<bool, int>{{false, 5}, {true, 5}});
+  CHECK(evictions(Plan, Start + minutes(1)).empty());
+}
+
+// Guards against evictions for room that would come free by itself.
+TEST_CASE("batch work waits ten seconds for its share before it evicts") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 2000));
+  Plan.setWorkspaces(shares({0, 1}), {2000, 8000, 0});
+  Plan.occupy({batch(1), 1, Start, Start});
+  Plan.occupy({batch(2), 1, Start, Start});
+  Plan.addPending(batch(10, 1000, 2));
+  CHECK(evictions(Plan, Start + seconds(9)).empty());
+  CHECK(evictions(Plan, Start + seconds(10)).size() == 1);
+}
+
 TEST_CASE("the cheapest task is evicted and a protected one never") {
   Planner Plan;
   Plan.upsertWorker(worker(1, 3000));
@@ -189,6 +218,29 @@
   CHECK(starts(Plan, Start + seconds(5)).size() == 4);
 }
 
+TEST_CASE("a gang reclaims its share for all members and starts whole") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 4000));
+  Plan.upsertWorker(worker(2, 4000));
+  Plan.setWorkspaces(shares({0, 1}), {8000, 32000, 0});
+  for (TaskNumber I = 1; I <= 8; ++I)
+    Plan.occupy({batch(I), static_cast<WorkerNumber>(1 + I % 2), Start, Start});
+  for (TaskNumber I = 11; I <= 12; ++I) {
+    auto Task = batch(I, 3000, 2);
+    Task.Gang_ = 5;
+    Task.GangSize_ = 2;
+    Plan.addPending(Task);
+  }
+  auto Now = Start + minutes(1);
+  auto Made = evictions(Plan, Now);
+  CHECK(Made.size() == 6);
+  for (std::size_t I = 0; I < Made.size(); ++I) {
+    CHECK(Plan.plan(Now += seconds(1), Many).empty());
+    Plan.release(Made[I].Task_);
+  }
+  CHECK(starts(Plan, Now + seconds(1)).size() == 2);
+}
+
 TEST_CASE("what no worker could ever hold is rejected with the nearest size") {
   Planner Plan;
   Plan.upsertWorker(worker(1, 4000));
@@ -301,6 +353,32 @@
   CHECK(starts(Plan, Start + seconds(93)).size() == 1);
 }
 
+// Guards against a replaced worker staying quarantined without a probe.
+TEST_CASE("a worker that was removed with tasks returns from quarantine") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1));
+  Plan.occupy({batch(1), 1, Start, Start});
+  for (JobNumber Job : {5, 6, 7})
+    Plan.reportStart(1, Job, false, Start);
+  Plan.removeWorker(1);
+  Plan.upsertWorker(worker(1));
+  Plan.addPending(urgent(2));
+  CHECK(starts(Plan, Start).size() == 1);
+}
+
+// Guards against a crash or a leak of room in recovery after a takeover.
+TEST_CASE("a task may be known before its worker") {
+  Planner Plan;
+  Plan.occupy({batch(1, 6000), 1, Start, Start});
+  Plan.addPending(batch(2, 3000));
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.upsertWorker(worker(1, 8000));
+  CHECK(Plan.committed(1).MilliCpu_ == 6000);
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.release(1);
+  CHECK(starts(Plan, Start).size() == 1);
+}
+
 TEST_CASE("jobs that fail everywhere do not count against workers") {
   Planner Plan;
   for (WorkerNumber I = 1; I <= 4; ++I)
--- a/tests/schedule/Stateful.tests.cpp
+++ b/tests/schedule/Stateful.tests.cpp
@@ -81,6 +81,9 @@
     case 11:
       Now_ += std::chrono::minutes(C.A_ % 30);
       break;
+    case 12:
+      removeWorker(C);
+      break;
     default:
       break;
     }
@@ -188,6 +191,19 @@
     setWorker(Info);
   }
 
+  //! Removes a worker, or adds one that leaves or was removed.
+  void removeWorker(const Command &C) {
+    WorkerInfo Info = pick(Oracle_.Workers_, C.A_)->second;
+    if (Info.Leaving_) {
+      Info.Leaving_ = false;
+      Info.Schedulable_ = true;
+      setWorker(Info);
+      return;
+    }
+    Oracle_.removeWorker(Info.Worker_);
+    each([&](Planner &P) { P.removeWorker(Info.Worker_); });
+  }
+
   void reportStart(const Command &C) {
     if (Oracle_.Running_.empty())
       return;
@@ -236,7 +252,7 @@
 };
 
 Command commandFrom(uint64_t Bits) {
-  return {static_cast<int>(Bits % 13),
+  return {static_cast<int>(Bits % 14),
           static_cast<uint32_t>(Bits >> 8 & 0xFFFF),
           static_cast<uint32_t>(Bits >> 32 & 0xFFFF)};
 }
@@ -275,6 +291,43 @@
   CHECK(Passed);
 }
 
+// Guards against evicting more than the waiting work needs, at once or while
+// earlier evictions are not yet released.
+TEST_CASE("evictions stay within what the waiting tasks need") {
+  bool Passed = rc::check([] {
+    Planner Plan;
+    auto Workers = *rc::gen::inRange<WorkerNumber>(1, 8);
+    TaskNumber Next = 1;
+    std::map<TaskNumber, int64_t> Sizes;
+    for (WorkerNumber I = 0; I < Workers; ++I) {
+      Plan.upsertWorker(worker(I, 8000));
+      for (int64_t Left = 8000; Left > 0; ++Next) {
+        auto Size = std::min<int64_t>(Left, 500 * *rc::gen::inRange(1, 5));
+        Plan.occupy({batch(Next, Size), I, Start, Start});
+        Sizes[Next] = Size;
+        Left -= Size;
+      }
+    }
+    int64_t Wanted = 0;
+    auto Urgents = *rc::gen::inRange<int64_t>(1, 10);
+    for (int64_t I = 0; I < Urgents; ++I) {
+      int64_t Size = 500 * *rc::gen::inRange(1, 9);
+      Plan.addPending(urgent(Next++, Size));
+      Wanted += Size;
+    }
+    int64_t Evicted = 0;
+    for (int Round = 0; Round < 5; ++Round)
+      for (const Decision &Each :
+           Plan.plan(Start + std::chrono::seconds(Round), 1000)) {
+        RC_ASSERT(Each.Kind_ == DecisionKind::Evict);
+        RC_ASSERT(Round == 0);
+        Evicted += Sizes.at(Each.Task_);
+      }
+    RC_ASSERT(Evicted < Wanted + 2000 * Urgents);
+  });
+  CHECK(Passed);
+}
+
 TEST_CASE("long seeded runs keep the rules of the oracle") {
   CHECK(brokenRule(Fault::None).value_or("") == "");
 }
