Fuzz owners of a partition against an oracle

Change: a stateful fuzzer with fakes for store and workers and a paused clock, an oracle for P1 to P4, jobs and usage, and a broken copy of the wait for a confirmed stop. The recovered state is compared with the owner's. Starts that a worker never took are no evictions and hold nothing; attempts of a lost worker are estimated also when they were never seen running.

--- a/src/partition/Partition.h
+++ b/src/partition/Partition.h
@@ -9,6 +9,7 @@
 #include "schedule/Planner.h"
 #include "store/KeyValueStore.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -41,6 +42,10 @@
   PartitionTimes Times_;
   schedule::PlannerPolicy Policy_;
   uint64_t Seed_ = 1;
+  //! The journal is compacted into the snapshot after this many batches or
+  //! bytes.
+  uint32_t SnapshotAfterBatches_ = 256;
+  std::size_t SnapshotAfterBytes_ = 256 << 10;
 };
 
 //! Commits Txn_; report the result with commitDone().
--- a/src/partition/internal/Journal.cpp
+++ b/src/partition/internal/Journal.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr uint32_t SnapshotAfterBatches = 256;
-constexpr std::size_t SnapshotAfterBytes = 256 << 10;
 //! The store refuses values above 1 MB.
 constexpr std::size_t MaxValueBytes = 900'000;
 //! Bound of one batch; a longer queue is sent urgent entries first.
@@ -144,8 +142,8 @@
 }
 
 void Journal::takeBatch() {
-  Snapshot_ = BatchesSinceSnapshot_ >= SnapshotAfterBatches ||
-              BytesSinceSnapshot_ >= SnapshotAfterBytes;
+  Snapshot_ = BatchesSinceSnapshot_ >= Settings_.SnapshotAfterBatches_ ||
+              BytesSinceSnapshot_ >= Settings_.SnapshotAfterBytes_;
   // A snapshot holds the state with all staged entries, so it takes them all.
   if (!Snapshot_ && QueueBytes_ > MaxBatchBytes) {
     takeOverflowing();
--- a/src/partition/internal/Reports.cpp
+++ b/src/partition/internal/Reports.cpp
@@ -90,7 +90,7 @@
     bool Failed = Result.Status_ == CommandStatus::Failed;
     if (Failed)
       Planner_.reportStart(Task->Worker_, Task->Job_->Number_, false, Now);
-    endAttempt(*Task, Failed ? AttemptEnd::Failed : AttemptEnd::Stopped, {},
+    endAttempt(*Task, Failed ? AttemptEnd::Failed : AttemptEnd::NotStarted, {},
                Failed ? "start failed" : "start refused", Now);
   }
 }
@@ -120,9 +120,11 @@
     if (Task.Dispatch_ == Dispatch::Sent &&
         Reply.WorkerClockMs_ <= Task.DeadlineMs_)
       continue;
+    bool Ran = Restarted || record(Task).HeldSinceMs_ != 0;
     Entry Change;
-    Change.Estimate_ = estimateOf(Task);
-    endAttempt(Task, AttemptEnd::Stopped, std::move(Change),
+    Change.Estimate_ = Ran ? estimateOf(Task) : 0;
+    endAttempt(Task, Ran ? AttemptEnd::Stopped : AttemptEnd::NotStarted,
+               std::move(Change),
                Restarted ? "worker restarted" : "unknown to its worker", Now);
   }
 }
@@ -234,8 +236,6 @@
 // Fills the gap since the last counted report with the granted share.
 int64_t Partition::Impl::estimateOf(const LiveTask &Task) {
   const TaskRecord &Record = record(Task);
-  if (Record.HeldSinceMs_ == 0)
-    return 0;
   int64_t Gap = std::max<int64_t>(0, wallMs() - Record.CountedMs_);
   return jobOf(Task).Spec_.PerTask_.MilliCpu_ * Gap / 1000;
 }
--- a/src/partition/internal/State.cpp
+++ b/src/partition/internal/State.cpp
@@ -196,7 +196,7 @@
 }
 
 void State::countHeld(const JobRecord &Job, TaskRecord &Task, int64_t ToMs) {
-  if (ToMs <= Task.HeldSinceMs_)
+  if (Task.HeldSinceMs_ == 0 || ToMs <= Task.HeldSinceMs_)
     return;
   row(ToMs, Job.Spec_.Workspace_).HeldCpuMillis_ +=
       Job.Spec_.PerTask_.MilliCpu_ * (ToMs - Task.HeldSinceMs_) / 1000;
@@ -205,14 +205,15 @@
 
 void State::applyEnd(JobRecord &Job, TaskRecord &Task, const Entry &Change) {
   countUse(Job, Task, Change);
-  if (Task.HeldSinceMs_ == 0)
+  if (Task.HeldSinceMs_ == 0 && Change.End_ != AttemptEnd::NotStarted)
     Task.HeldSinceMs_ = Task.StartMs_;
   countHeld(Job, Task, Change.TimeMs_);
   UsageRow &Row = row(Change.TimeMs_, Job.Spec_.Workspace_);
   Row.UsedCpuMillis_ += Change.Estimate_;
   Row.EstimatedCpuMillis_ += Change.Estimate_;
   bool Finished = Change.End_ == AttemptEnd::Finished;
-  if (Task.State_ == TaskState::Evicting && !Finished) {
+  if (Task.State_ == TaskState::Evicting && !Finished &&
+      Change.End_ != AttemptEnd::NotStarted) {
     ++Task.Evictions_;
     ++Row.Evictions_;
   }
@@ -238,7 +239,7 @@
     row(Change.TimeMs_, Workspace).GrantedCpuMillis_ += Granted;
   for (auto &[Id, Job] : Jobs_)
     for (TaskRecord &Task : Job.Tasks_)
-      if (holdsWorker(Task.State_) && Task.HeldSinceMs_ != 0)
+      if (holdsWorker(Task.State_))
         countHeld(Job, Task, Change.TimeMs_);
   AccruedMs_ = std::max(AccruedMs_, Change.TimeMs_);
 }
--- a/src/partition/internal/State.h
+++ b/src/partition/internal/State.h
@@ -66,7 +66,13 @@
   Prune
 };
 
-enum class AttemptEnd : uint8_t { Stopped, Finished, Failed };
+enum class AttemptEnd : uint8_t {
+  Stopped,
+  Finished,
+  Failed,
+  //! The worker never took the start.
+  NotStarted
+};
 
 //! One journal entry. Fields that a kind does not use keep their default and
 //! are not written.
--- a/src/partition/internal/Workers.cpp
+++ b/src/partition/internal/Workers.cpp
@@ -156,7 +156,7 @@
   Worker.Outbox_.swap(Kept);
   // The command was never sent, so the attempt certainly does not run.
   for (LiveTask *Task : Late)
-    endAttempt(*Task, AttemptEnd::Stopped, {}, "start was too late", Now);
+    endAttempt(*Task, AttemptEnd::NotStarted, {}, "start was too late", Now);
 }
 
 void Partition::Impl::sendMessages(base::TimePoint Now) {
@@ -226,9 +226,11 @@
     if (Task == Tasks_.end() || Task->second.Dispatch_ == Dispatch::Undurable)
       continue;
     Entry Change;
-    Change.Estimate_ = estimateOf(Task->second);
-    endAttempt(Task->second, AttemptEnd::Stopped, std::move(Change), Reason,
-               Now);
+    bool Sent = Task->second.Dispatch_ != Dispatch::Queued;
+    Change.Estimate_ = Sent ? estimateOf(Task->second) : 0;
+    endAttempt(Task->second,
+               Sent ? AttemptEnd::Stopped : AttemptEnd::NotStarted,
+               std::move(Change), Reason, Now);
   }
   publishWorker(Worker);
 }
--- a/tests/partition/World.cpp
+++ b/tests/partition/World.cpp
@@ -1,5 +1,7 @@
 #include "World.h"
 
+#include "partition/internal/Codec.h"
+
 #include <algorithm>
 
 namespace crocuslead::partition::test {
@@ -98,6 +100,8 @@
 
 void Oracle::forgotten(const platform::AttemptReport &Report) {
   ConfirmedCpu_ += Report.CpuMillis_;
+  if (Unreported_.count(keyOf(Report.Task_, Report.Attempt_)) != 0)
+    return;
   if (Report.State_ == AttemptState::Finished)
     ConfirmedFinished_.insert(Report.Task_);
   int64_t &Resume = MustResumeMs_[Report.Task_];
@@ -175,7 +179,6 @@
   if (Attempt.Report_.State_ == AttemptState::Checkpointing) {
     int64_t Progress = Attempt.BaseProgressMs_ + Attempt.Report_.RunMillis_;
     Attempt.Report_.Checkpoint_ = std::to_string(Progress);
-    ++Rules.Evicted_;
   }
   Attempt.Report_.State_ = How;
   Rules.over(Id_, Attempt.Report_.Task_);
@@ -271,13 +274,7 @@
   FakeOwner Owner;
   Owner.Epoch_ = Store_.Revision_;
   Owner.KeepAliveAt_ = NowMs_;
-  PartitionSettings Settings;
-  Settings.Id_ = "p1";
-  Settings.Epoch_ = Owner.Epoch_;
-  Settings.OwnerKey_ = Prefix + "owner";
-  Settings.DomainsKey_ = DomainsKey;
-  Settings.Domain_ = "d1";
-  Owner.Partition_ = std::make_unique<Partition>(Settings);
+  Owner.Partition_ = std::make_unique<Partition>(settings(Owner.Epoch_));
   if (!Owner.Partition_->recover(Store_.range(Prefix), now(), wall()))
     Oracle_.fault("recovery failed");
   Owner.Partition_->configure(configuration(), {80'000, 320'000, 0}, now());
@@ -287,6 +284,48 @@
   return true;
 }
 
+PartitionSettings World::settings(int64_t Epoch) const {
+  PartitionSettings Settings;
+  Settings.Id_ = "p1";
+  Settings.Epoch_ = Epoch;
+  Settings.OwnerKey_ = Prefix + "owner";
+  Settings.DomainsKey_ = DomainsKey;
+  Settings.Domain_ = "d1";
+  Settings.SnapshotAfterBatches_ = SnapshotAfterBatches_;
+  return Settings;
+}
+
+std::string World::stateText(const Partition &Of) {
+  std::string Out;
+  for (const JobView &Job : Of.jobs()) {
+    Out += Job.Id_ + ":" + std::to_string(static_cast<int>(Job.State_)) +
+           Job.TransferredTo_ + Job.RejectReason_ + " ";
+    for (const TaskView &Task : Job.Tasks_)
+      Out += Task.State_ + std::to_string(Task.Attempt_) + Task.Worker_ + " ";
+  }
+  for (const UsageRow &Row : Of.usage())
+    for (int64_t Value :
+         {Row.GrantedCpuMillis_, Row.HeldCpuMillis_, Row.UsedCpuMillis_,
+          Row.EstimatedCpuMillis_, static_cast<int64_t>(Row.Evictions_)})
+      Out += std::to_string(Value) + " ";
+  return Out;
+}
+
+void World::checkReplay() {
+  Partition *Owner = current();
+  if (Owner == nullptr || !Owner->isQuiescent())
+    return;
+  auto Key = Store_.Data_.find(Prefix + "owner");
+  if (Key == Store_.Data_.end() ||
+      Key->second.CreateRevision_ != Owners_.back().Epoch_)
+    return;
+  ++Replays_;
+  Partition Copy(settings(Owners_.back().Epoch_));
+  if (!Copy.recover(Store_.range(Prefix), now(), wall()) ||
+      stateText(Copy) != stateText(*Owner))
+    Oracle_.fault("replay gives another state");
+}
+
 Partition *World::current() {
   if (Owners_.empty() || Owners_.back().Fenced_ || !Owners_.back().Partition_)
     return nullptr;
@@ -446,15 +485,23 @@
   int64_t Arrives =
       Lost ? delay() + static_cast<int64_t>(Random_.below(8000)) : delay();
   at(Arrives, [this, Answer, Lost, Txn = Commit.Txn_] {
-    if (StoreDown_)
+    if (StoreDown_) {
+      if (!Lost)
+        at(CallTimeoutMs, [Answer] { Answer(CommitStatus::Uncertain); });
       return;
+    }
     bool Applied = Store_.txn(Txn);
+    if (auto Batch = decodeBatch(Txn.Puts_.back().Value_); Applied && Batch)
+      for (const Entry &One : Batch->Entries_)
+        if (One.Kind_ == EntryKind::Evict)
+          Oracle_.Evicted_.insert(
+              keyOf(One.Job_ + "/" + std::to_string(One.Task_), One.Attempt_));
     if (!Lost)
       at(delay(), [Answer, Applied] {
         Answer(Applied ? CommitStatus::Committed : CommitStatus::CompareFailed);
       });
   });
-  if (Lost || StoreDown_)
+  if (Lost)
     at(CallTimeoutMs, [Answer] { Answer(CommitStatus::Uncertain); });
 }
 
@@ -479,7 +526,26 @@
   });
 }
 
+// An owner that gave an attempt up runs its task again, whatever the worker
+// reports of it later.
+void World::noteForget(const FakeOwner &Owner,
+                       const platform::WorkerRequest &To) {
+  for (const platform::WorkerCommand &Command : To.Commands_) {
+    if (Command.Kind_ != CommandKind::Forget)
+      continue;
+    auto Log = Owner.Partition_->explain(Command.Task_);
+    auto Last =
+        std::find_if(Log.rbegin(), Log.rend(), [&](const DecisionRecord &Line) {
+          return Line.Worker_ == To.Worker_ &&
+                 (Line.Event_ == "end" || Line.Event_ == "finish");
+        });
+    if (Last == Log.rend() || Last->Reason_ != "worker report")
+      Oracle_.Unreported_.insert(keyOf(Command.Task_, Command.Attempt_));
+  }
+}
+
 void World::message(FakeOwner &Owner, const WorkerAction &Message) {
+  noteForget(Owner, Message.Request_);
   int64_t Epoch = Owner.Epoch_;
   auto Fail = [this, Epoch, Token = Message.Token_] {
     deliver(Epoch, [this, Token](Partition &P) {
--- a/tests/partition/World.h
+++ b/tests/partition/World.h
@@ -42,8 +42,11 @@
   std::map<std::string, int64_t> MustResumeMs_;
   int64_t RealCpu_ = 0;
   int64_t ConfirmedCpu_ = 0;
+  //! Attempts that the owner ended without their worker's report.
+  std::set<std::string> Unreported_;
   uint32_t Starts_ = 0;
-  uint32_t Evicted_ = 0;
+  //! Attempts with a durable eviction.
+  std::set<std::string> Evicted_;
 
   void fault(const std::string &What) { Faults_.push_back(What); }
   //! First fault, for messages; empty when every rule held.
@@ -94,6 +97,8 @@
   bool takeOver();
   //! The newest owner without its crash; none when there is none.
   Partition *current();
+  //! Compares a quiescent owner with what the store gives on recovery.
+  void checkReplay();
   void step();
   void run(int64_t Ms);
   void setDomain(config::DomainState State);
@@ -122,6 +127,8 @@
   uint64_t Commits_ = 0;
   uint64_t CommitBytes_ = 0;
   uint64_t ReadBacks_ = 0;
+  uint64_t Replays_ = 0;
+  uint32_t SnapshotAfterBatches_ = 256;
   //! Breaks the rule under test in the fake's view of leases.
   bool ForgeStops_ = false;
 
@@ -138,8 +145,11 @@
   int64_t delay() {
     return static_cast<int64_t>(Random_.below(MaxDelayMs_ + 1));
   }
+  void noteForget(const FakeOwner &Owner, const platform::WorkerRequest &To);
   void keepAlive(FakeOwner &Owner);
   void expireOwner();
+  PartitionSettings settings(int64_t Epoch) const;
+  static std::string stateText(const Partition &Of);
   config::Configuration configuration() const;
   std::vector<platform::InstanceEntry> instances() const;
 
