Add the HTTP adapters for workers and the instance list

Cause: partitions send messages to workers, and every instance polls the platform's list.

Change: makeHttpWorkerGateway() keeps one message in flight per worker and a bounded queue behind it; an unreachable worker fails its waiting messages at once. makeHttpInstanceList() fetches by revision and checks every field; one bad field refuses the list, since a caller that keeps the last list is safer than one that takes a part. Refusals come back from the loop, never from within the call. Connections that close at accept no longer move a const handle in Server.cpp (linter).

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -61,7 +61,7 @@
   for (auto &[Id, One] : All) {
     auto Connection =
         std::static_pointer_cast<restinio::impl::connection_base_t>(
-            std::move(One.Handle_));
+            One.Handle_);
     if (Connection)
       Connection->write_response_parts(
           NoRequest,
--- a/src/platform/InstanceList.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "platform/InstanceList.h"
--- a/src/platform/WorkerGateway.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "platform/WorkerGateway.h"
--- /dev/null
+++ b/src/platform/internal/ExchangeError.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "base/Error.h"
+#include "http/Client.h"
+
+namespace crocuslead::platform::internal {
+
+//! Error of an exchange that brought no complete answer.
+base::Error exchangeError(const http::ExchangeResult &Result);
+
+} // namespace crocuslead::platform::internal
