--- a/src/partition/internal/State.cpp
+++ b/src/partition/internal/State.cpp
@@ -256,6 +256,11 @@
   Job.EndedMs_ = std::max<int64_t>(AtMs, 1);
   Job.Tasks_.clear();
   Job.Tasks_.shrink_to_fit();
+  // Only what tells a repeated submission and a query stays: ended jobs are
+  // most of a snapshot.
+  Job.Spec_.Kind_.clear();
+  Job.Spec_.PerTask_ = {};
+  Job.Spec_.RunTimeMs_ = 0;
   Ended_.insert({Job.EndedMs_, Job.Spec_.Id_});
 }
 
