--- a/bench/RouteFigures.cpp
+++ b/bench/RouteFigures.cpp
@@ -41,7 +41,7 @@
 
 double oneSlow(int Upstream, double) { return Upstream == 12 ? 10 : 1; }
 
-RouteOutcome simulate(RouteScenario Scenario) {
+RouteOutcome simulate(const RouteScenario &Scenario) {
   return RouteSim(Scenario).run();
 }
 
@@ -116,17 +116,29 @@
          static_cast<double>(Out.Requests_);
 }
 
+double answeredShare(const RouteOutcome &Out) {
+  return static_cast<double>(Out.Good_) / static_cast<double>(Out.Requests_);
+}
+
 void regionFigures() {
   for (const char *Out : {"", "ibadan"}) {
     RouteScenario Scenario;
     Scenario.DomainOut_ = Out;
     RouteOutcome Own = simulate(Scenario);
+    Scenario.SlotsByRegion_ = false;
+    RouteOutcome Plain = simulate(Scenario);
     Scenario.RegionBlind_ = true;
     RouteOutcome Blind = simulate(Scenario);
     std::string Name = std::string("route.cross-region-bytes.") +
                        (*Out == '\0' ? "all-domains" : "one-domain-out");
     emit({Name, bytesPerThousand(Own), "bytes per 1000 requests", std::nullopt,
           Better::Lower, bytesPerThousand(Blind), "regions ignored"});
+    emit({Name + ".answered", answeredShare(Own), "share of requests",
+          std::nullopt, Better::Higher, answeredShare(Plain),
+          "slots divided without regard to regions"});
+    emit({Name, bytesPerThousand(Own), "bytes per 1000 requests", std::nullopt,
+          Better::Lower, bytesPerThousand(Plain),
+          "slots divided without regard to regions"});
   }
 }
 
--- a/bench/RouteSim.cpp
+++ b/bench/RouteSim.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <map>
 
 namespace crocuslead::bench {
 
@@ -63,27 +64,54 @@
   return base::TimePoint(std::chrono::hours(1)) + base::Duration(Now_);
 }
 
+// The guild's three failure domains; one router alone has them in one region.
+int RouteSim::domainOf(int Router) const {
+  constexpr int Order[] = {0, 1, 2, 0, 1, 2, 0, 1};
+  return Order[Router % 8];
+}
+
+const char *RouteSim::regionOf(int Domain) const {
+  return Scenario_.Routers_ == 1 ? Regions[0] : Regions[Domain];
+}
+
+// Callers are divided over the regions as the upstreams are.
+int RouteSim::pickRouter() {
+  int Domain = static_cast<int>(Rng_.below(UpstreamCount)) % 3;
+  std::vector<int> Near;
+  for (int I = 0; I < Scenario_.Routers_; ++I)
+    if (std::string(regionOf(domainOf(I))) == regionOf(Domain))
+      Near.push_back(I);
+  return Near[Rng_.below(Near.size())];
+}
+
 void RouteSim::buildFleet() {
   for (int I = 0; I < UpstreamCount; ++I) {
     route::UpstreamInfo U;
     U.Id_ = "u" + std::to_string(I);
     U.Domain_ = Domains[I % 3];
-    U.Region_ = Scenario_.RegionBlind_ ? "all" : Regions[I % 3];
+    U.Region_ = Scenario_.RegionBlind_ ? "all" : regionOf(I % 3);
     U.Services_ = {"visit-desk"};
     Upstreams_.push_back(U);
   }
   std::vector<std::string> Instances;
-  for (int I = 0; I < Scenario_.Routers_; ++I)
+  std::map<std::string, std::string> InstanceRegions;
+  Instances.reserve(static_cast<std::size_t>(Scenario_.Routers_));
+  for (int I = 0; I < Scenario_.Routers_; ++I) {
     Instances.push_back("i" + std::to_string(I));
+    InstanceRegions[Instances.back()] =
+        Scenario_.RegionBlind_ ? "all" : regionOf(domainOf(I));
+  }
   for (int I = 0; I < Scenario_.Routers_; ++I) {
     route::RouterSettings S;
     S.Self_ = Instances[static_cast<std::size_t>(I)];
-    S.Domain_ = Domains[I % 3];
-    S.Region_ = Scenario_.RegionBlind_ ? "all" : Regions[I % 3];
+    S.Domain_ = Domains[domainOf(I)];
+    S.Region_ = Scenario_.RegionBlind_ ? "all" : regionOf(domainOf(I));
+    if (Scenario_.SlotsByRegion_)
+      S.InstanceRegions_ = InstanceRegions;
     S.Instances_ = Instances;
     S.Pick_ = Scenario_.Pick_;
     S.Seed_ = Seed + static_cast<uint64_t>(I);
-    RouterRegion_.emplace_back(Regions[I % 3]);
+    RouterRegion_.emplace_back(regionOf(domainOf(I)));
     Routers_.push_back(std::make_unique<route::Router>(S));
     Routers_.back()->setUpstreams(Upstreams_, now());
     if (!Scenario_.DomainOut_.empty())
@@ -131,8 +159,7 @@
   double Rate = Scenario_.Load_ * routeCapacity();
   double Gap = -std::log(std::max(Rng_.unit(), 1e-12)) / Rate;
   push(Now_ + static_cast<int64_t>(Gap * SecondMicros) + 1, Kind::Arrival, 0);
-  auto Router =
-      static_cast<int>(Rng_.below(static_cast<uint64_t>(Scenario_.Routers_)));
+  int Router = pickRouter();
   route::RequestInfo Info;
   Info.Id_ = ++NextRequest_;
   Info.Workspace_ = "guild";
@@ -210,10 +237,10 @@
                 Send.Attempt_, route::AttemptEnd::ConnectFailed);
   int64_t Delay = SameDomainMicros;
   auto Index = static_cast<std::size_t>(Router);
-  if (RouterRegion_[Index] != Regions[Upstream % 3]) {
+  if (RouterRegion_[Index] != regionOf(Upstream % 3)) {
     Delay = OtherRegionMicros;
     Out_.CrossBytes_ += BodyBytes + AnswerBytes + OverheadBytes;
-  } else if (Router % 3 != Upstream % 3) {
+  } else if (domainOf(Router) != Upstream % 3) {
     Delay = OtherDomainMicros;
   }
   int64_t Total = serviceMicros(Upstream) + Delay;
@@ -244,24 +271,32 @@
     Requests_.erase(Found);
 }
 
-// As pings do: each instance with waiting requests gets idle slots of others.
+// As pings do: each instance that is short gets idle slots of others, those of
+// its own region first.
 void RouteSim::lend() {
-  for (auto &Borrower : Routers_) {
-    auto Wanted = static_cast<int>(Borrower->queued());
-    for (auto &Lender : Routers_) {
-      if (Lender == Borrower || Wanted <= 0)
-        continue;
-      auto Until = now() + base::Duration(LendTermMicros);
-      for (const auto &[Id, Idle] : Lender->idleSlots(now())) {
-        int Count = std::min(Idle, Wanted);
-        if (Count <= 0)
-          break;
-        Lender->lendSlots(Id, Count, Until);
-        Borrower->borrowSlots(Id, Count, Until);
-        Wanted -= Count;
-      }
-    }
+  for (std::size_t B = 0; B < Routers_.size(); ++B) {
+    auto Wanted = static_cast<int>(Routers_[B]->shortage());
+    for (bool Near : {true, false})
+      for (std::size_t L = 0; L < Routers_.size() && Wanted > 0; ++L)
+        if (L != B)
+          Wanted -= lendFrom(L, B, Wanted, Near);
+  }
+}
+
+int RouteSim::lendFrom(std::size_t Lender, std::size_t Borrower, int Wanted,
+                       bool Near) {
+  int Lent = 0;
+  auto Until = now() + base::Duration(LendTermMicros);
+  for (const auto &[Id, Idle] : Routers_[Lender]->idleSlots(now())) {
+    int Count = std::min(Idle, Wanted - Lent);
+    const char *Region = regionOf(std::stoi(Id.substr(1)) % 3);
+    if (Count <= 0 || (RouterRegion_[Borrower] == Region) != Near)
+      continue;
+    Routers_[Lender]->lendSlots(Id, Count, Until);
+    Routers_[Borrower]->borrowSlots(Id, Count, Until);
+    Lent += Count;
   }
+  return Lent;
 }
 
 } // namespace crocuslead::bench
--- a/bench/RouteSim.h
+++ b/bench/RouteSim.h
@@ -29,6 +29,8 @@
   double OutageTo_ = -1;
   //! Failure domain that is out from the start; empty for none.
   std::string DomainOut_;
+  //! Gives the routers the regions of the instances for the order of slots.
+  bool SlotsByRegion_ = true;
   //! Hides the regions from the routers.
   bool RegionBlind_ = false;
 };
@@ -84,6 +86,10 @@
   };
 
   void buildFleet();
+  int pickRouter();
+  //! Index of the failure domain of a router.
+  int domainOf(int Router) const;
+  const char *regionOf(int Domain) const;
   void push(int64_t At, Kind What, int Router, uint64_t Request = 0,
             uint32_t Attempt = 0,
             route::AttemptEnd End = route::AttemptEnd::Answered);
@@ -91,6 +97,7 @@
   void arrive();
   void endAttempt(const Event &E);
   void lend();
+  int lendFrom(std::size_t Lender, std::size_t Borrower, int Wanted, bool Near);
   void drain(int Router);
   void onSend(int Router, const route::SendAction &Send);
   int64_t serviceMicros(int Upstream);
--- a/src/route/Router.cpp
+++ b/src/route/Router.cpp
@@ -8,41 +8,46 @@
 
 namespace {
 
-//! Part of the own slots that an instance keeps free of loans, for its own
-//! next requests: it gets a lent slot back only after 6 s.
-constexpr double KeptShare = 0.25;
+//! Part of the own region's slots that an instance keeps free of loans, for its
+//! own next requests: it gets a lent slot back only after 6 s.
+constexpr double KeptShare = 0.3;
 
 } // namespace
 
+// Slots in other regions are offered whole: they are used only when the own
+// region has none.
 std::vector<std::pair<std::string, int>>
 Router::Impl::idleSlots(base::TimePoint Now) const {
-  std::vector<std::pair<std::string, int>> Idle;
+  std::vector<std::pair<std::string, int>> Own;
+  std::vector<std::pair<std::string, int>> Offered;
   if (Queue_.size() != 0)
-    return Idle;
+    return Offered;
   int Owned = 0;
   int Free = 0;
   for (const auto &[Id, U] : Upstreams_.all()) {
     if (U->state() != UpstreamState::Serving &&
         U->state() != UpstreamState::Warming)
       continue;
-    Owned += U->ownSlots();
-    if (U->freeOwn(Now) <= 0)
-      continue;
-    Free += U->freeOwn(Now);
-    Idle.emplace_back(Id, U->freeOwn(Now));
+    bool OwnRegion = U->info().Region_ == Settings_.Region_;
+    int Idle = std::max(0, U->freeOwn(Now));
+    Owned += OwnRegion ? U->ownSlots() : 0;
+    Free += OwnRegion ? Idle : 0;
+    if (Idle > 0)
+      (OwnRegion ? Own : Offered).emplace_back(Id, Idle);
   }
-  std::sort(Idle.begin(), Idle.end(), [](const auto &A, const auto &B) {
+  auto Larger = [](const auto &A, const auto &B) {
     return A.second != B.second ? A.second > B.second : A.first < B.first;
-  });
+  };
+  std::sort(Own.begin(), Own.end(), Larger);
   int ToLend = Free - static_cast<int>(KeptShare * Owned);
-  std::vector<std::pair<std::string, int>> Offered;
-  for (auto &[Id, Count] : Idle) {
+  for (auto &[Id, Count] : Own) {
     int Part = std::min(Count, ToLend);
     if (Part <= 0)
       break;
     Offered.emplace_back(Id, Part);
     ToLend -= Part;
   }
+  std::sort(Offered.begin(), Offered.end(), Larger);
   return Offered;
 }
 
@@ -100,6 +105,8 @@
 
 uint64_t Router::queued() const { return Impl_->Queue_.size(); }
 
+uint64_t Router::shortage() const { return Impl_->shortage(); }
+
 void Router::begin(const RequestInfo &Request, base::TimePoint Now) {
   Impl_->Now_ = Now;
   Impl_->begin(Request, Now);
@@ -123,7 +130,7 @@
 std::optional<base::TimePoint> Router::nextTimer() const {
   if (Impl_->Timers_.empty())
     return std::nullopt;
-  return Impl_->Timers_.top().When_;
+  return Impl_->Timers_.front().When_;
 }
 
 std::vector<RouteAction> Router::takeActions() {
--- a/src/route/Router.h
+++ b/src/route/Router.h
@@ -5,6 +5,7 @@
 #include "base/Random.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,11 @@
   std::string Region_;
   //! Ids of all configured instances; slots are divided over them.
   std::vector<std::string> Instances_;
+  //! Regions of the configured instances by id, the same on all instances. When
+  //! given, instances of an upstream's region come first in the order of its
+  //! slots; otherwise slots are stranded with instances that prefer their own
+  //! region. Empty for the plain order.
+  std::map<std::string, std::string> InstanceRegions_;
   PickPolicy Pick_ = PickPolicy::Scored;
   //! Longest time that a request waits for a slot.
   base::Duration QueueLimit_ = std::chrono::milliseconds(500);
@@ -173,6 +179,9 @@
   std::vector<std::pair<std::string, int>> idleSlots(base::TimePoint Now) const;
   //! Requests waiting for a slot.
   uint64_t queued() const;
+  //! Slots of the own region that this instance lacked at the worst instant of
+  //! the last seconds, to be reported in pings.
+  uint64_t shortage() const;
 
   void begin(const RequestInfo &Request, base::TimePoint Now);
   void attemptEnded(const AttemptResult &Result, base::TimePoint Now);
--- a/src/route/internal/LatencySketch.cpp
+++ b/src/route/internal/LatencySketch.cpp
@@ -25,10 +25,10 @@
   return std::min(static_cast<std::size_t>(Top) * 4 + Quarter, Count - 1);
 }
 
-//! Middle of the bucket.
-base::Duration valueOf(std::size_t Bucket) {
+//! Value at a part of the bucket, from 0 to 1.
+base::Duration valueOf(std::size_t Bucket, double Part) {
   double Base = std::ldexp(1.0, static_cast<int>(Bucket / 4));
-  double Value = Base * (1 + (static_cast<double>(Bucket % 4) + 0.5) / 4);
+  double Value = Base * (1 + (static_cast<double>(Bucket % 4) + Part) / 4);
   return base::Duration(static_cast<int64_t>(Value));
 }
 
@@ -63,19 +63,21 @@
     Low_ = Median_ = High_ = std::nullopt;
     return;
   }
-  Low_ = quantile(LowShare, Sum);
-  Median_ = quantile(0.5, Sum);
-  High_ = quantile(HighShare, Sum);
+  // The lower edge refuses no deadline too early; with the upper edge, equal
+  // latencies are not hedged just before they end.
+  Low_ = valueOf(quantile(LowShare, Sum), 0);
+  Median_ = valueOf(quantile(0.5, Sum), 0.5);
+  High_ = valueOf(quantile(HighShare, Sum), 1);
 }
 
-base::Duration LatencySketch::quantile(double Share, double Sum) const {
+std::size_t LatencySketch::quantile(double Share, double Sum) const {
   double Rest = Share * Sum;
   for (std::size_t I = 0; I < BucketCount; ++I) {
     Rest -= Weights_[I];
     if (Rest <= 0)
-      return valueOf(I);
+      return I;
   }
-  return valueOf(BucketCount - 1);
+  return BucketCount - 1;
 }
 
 } // namespace crocuslead::route
--- a/src/route/internal/LatencySketch.h
+++ b/src/route/internal/LatencySketch.h
@@ -25,7 +25,8 @@
 
   double growth(base::TimePoint Now) const;
   void rescale(base::TimePoint Now);
-  base::Duration quantile(double Share, double Sum) const;
+  //! Bucket of the quantile.
+  std::size_t quantile(double Share, double Sum) const;
 
   std::array<double, BucketCount> Weights_{};
   base::TimePoint Origin_{};
--- a/src/route/internal/RouterImpl.h
+++ b/src/route/internal/RouterImpl.h
@@ -8,8 +8,8 @@
 #include "route/internal/RequestRecord.h"
 #include "route/internal/UpstreamSet.h"
 
+#include <algorithm>
 #include <optional>
-#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +31,7 @@
   // Results of attempts: RouterResults.cpp.
   void attemptEnded(const AttemptResult &Result, base::TimePoint Now);
 
+  uint64_t shortage() const { return std::max(ShortNow_, ShortBefore_); }
   std::vector<std::pair<std::string, int>> idleSlots(base::TimePoint Now) const;
   std::vector<UpstreamView> views() const;
 
@@ -41,7 +42,8 @@
   std::vector<RouteAction> Actions_;
   RouterCounters Counters_;
   std::unordered_map<uint64_t, RequestRecord> Requests_;
-  std::priority_queue<Timer> Timers_;
+  //! A heap whose front is the earliest timer.
+  std::vector<Timer> Timers_;
   //! Last instant that was given; views are as of then.
   base::TimePoint Now_{};
 
@@ -54,7 +56,10 @@
 
   void setTimer(base::TimePoint When, TimerKind Kind, uint64_t Request,
                 uint32_t Attempt = 0);
+  bool stale(const Timer &Value) const;
+  void dropStaleTimers();
   void fire(const Timer &Due, base::TimePoint Now);
+  void measureShortage(base::TimePoint Now);
   void onDeadline(RequestRecord &Record);
   void onQueueEnd(RequestRecord &Record, base::TimePoint Now);
   bool admit(const RequestInfo &Request, base::TimePoint Now);
@@ -103,6 +108,11 @@
   std::unordered_map<std::string, int64_t> PerWorkspace_;
   std::unordered_map<std::string, ServiceStats> Services_;
   uint64_t Arrivals_ = 0;
+  //! Worst shortage of the present and of the last interval.
+  uint64_t ShortNow_ = 0;
+  uint64_t ShortBefore_ = 0;
+  base::TimePoint ShortSince_{};
+  base::TimePoint ShortMeasured_{};
 };
 
 } // namespace crocuslead::route
--- a/src/route/internal/RouterRequests.cpp
+++ b/src/route/internal/RouterRequests.cpp
@@ -9,6 +9,12 @@
 
 //! Slots pass on 30 s after a death, so no request may run longer.
 constexpr std::chrono::seconds LongestRequest{30};
+//! Pings go out every 2 s; the shortage covers one to two of these intervals.
+constexpr std::chrono::seconds ShortageInterval{2};
+constexpr std::chrono::milliseconds ShortageSampling{50};
+//! Stale timers are dropped when they outnumber these.
+constexpr std::size_t SpareTimers = 1024;
+constexpr std::size_t TimersPerRequest = 8;
 //! The queue counts as standing when its oldest request has waited this part
 //! of the queue limit.
 constexpr int StandingPart = 4;
@@ -124,18 +130,53 @@
 }
 
 void Router::Impl::tick(base::TimePoint Now) {
-  while (!Timers_.empty() && Timers_.top().When_ <= Now) {
-    Timer Due = Timers_.top();
-    Timers_.pop();
+  while (!Timers_.empty() && Timers_.front().When_ <= Now) {
+    std::pop_heap(Timers_.begin(), Timers_.end());
+    Timer Due = Timers_.back();
+    Timers_.pop_back();
     fire(Due, Now);
   }
   Upstreams_.tick(Now);
   dispatch(Now);
+  measureShortage(Now);
+}
+
+void Router::Impl::measureShortage(base::TimePoint Now) {
+  if (Now - ShortMeasured_ < ShortageSampling)
+    return;
+  ShortMeasured_ = Now;
+  if (Now - ShortSince_ >= ShortageInterval) {
+    ShortBefore_ = ShortNow_;
+    ShortNow_ = 0;
+    ShortSince_ = Now;
+  }
+  ShortNow_ = std::max<uint64_t>(
+      ShortNow_,
+      Queue_.size() + static_cast<uint64_t>(Upstreams_.slotsShort(Now)));
 }
 
 void Router::Impl::setTimer(base::TimePoint When, TimerKind Kind,
                             uint64_t Request, uint32_t Attempt) {
-  Timers_.push({When, Request, Attempt, Kind});
+  Timers_.push_back({When, Request, Attempt, Kind});
+  std::push_heap(Timers_.begin(), Timers_.end());
+  if (Timers_.size() >
+      SpareTimers + TimersPerRequest * (Requests_.size() + Attempts_.size()))
+    dropStaleTimers();
+}
+
+bool Router::Impl::stale(const Timer &Value) const {
+  if (Value.Kind_ == TimerKind::AttemptExpiry)
+    return Attempts_.count({Value.Request_, Value.Attempt_}) == 0;
+  return Requests_.count(Value.Request_) == 0;
+}
+
+// Long deadlines would otherwise keep the timers of requests long ended.
+void Router::Impl::dropStaleTimers() {
+  Timers_.erase(
+      std::remove_if(Timers_.begin(), Timers_.end(),
+                     [&](const Timer &Value) { return stale(Value); }),
+      Timers_.end());
+  std::make_heap(Timers_.begin(), Timers_.end());
 }
 
 // Timers are not removed when their cause is gone; each is checked against the
--- a/src/route/internal/SlotShare.cpp
+++ b/src/route/internal/SlotShare.cpp
@@ -2,12 +2,14 @@
 
 #include "base/Hash.h"
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace crocuslead::route {
 
 InstanceView::InstanceView(std::vector<std::string> Instances,
-                           const std::string &Self)
+                           const std::string &Self,
+                           const std::map<std::string, std::string> &Regions)
     : Instances_(std::move(Instances)) {
   std::sort(Instances_.begin(), Instances_.end());
   Instances_.erase(std::unique(Instances_.begin(), Instances_.end()),
@@ -16,6 +18,10 @@
   if (Found == Instances_.end())
     Found = Instances_.insert(Instances_.end(), Self);
   Self_ = static_cast<std::size_t>(Found - Instances_.begin());
+  for (const std::string &Name : Instances_) {
+    auto Region = Regions.find(Name);
+    Regions_.push_back(Region == Regions.end() ? "" : Region->second);
+  }
   DeadSince_.resize(Instances_.size());
   PassedOn_.resize(Instances_.size(), false);
 }
@@ -42,16 +48,23 @@
   return Changed;
 }
 
-SlotShare::SlotShare(const std::string &Upstream, const std::string &Kind,
-                     int Count, const InstanceView &View) {
-  const auto &Instances = View.instances();
+SlotShare::SlotShare(const UpstreamInfo &Upstream, ShareKind Kind,
+                     const InstanceView &View) {
+  std::size_t Instances = View.instances().size();
+  bool Slots = Kind == ShareKind::Slots;
+  int Count = Slots ? Upstream.Slots_ : Upstream.Connections_;
   for (int Slot = 0; Slot < Count; ++Slot) {
-    std::string Key = Upstream + Kind + std::to_string(Slot);
-    auto Own = std::make_pair(
-        base::rendezvousWeight(Key, Instances[View.self()]), View.self());
+    std::string Key = Upstream.Id_ + (Slots ? "/slot/" : "/connection/") +
+                      std::to_string(Slot);
+    auto Rank = [&](std::size_t I) {
+      return std::make_tuple(Slots && View.inRegion(I, Upstream.Region_),
+                             base::rendezvousWeight(Key, View.instances()[I]),
+                             I);
+    };
+    auto Own = Rank(View.self());
     std::vector<uint16_t> Ahead;
-    for (std::size_t I = 0; I < Instances.size(); ++I)
-      if (std::make_pair(base::rendezvousWeight(Key, Instances[I]), I) > Own)
+    for (std::size_t I = 0; I < Instances; ++I)
+      if (Rank(I) > Own)
         Ahead.push_back(static_cast<uint16_t>(I));
     Ahead_.push_back(std::move(Ahead));
   }
--- a/src/route/internal/SlotShare.h
+++ b/src/route/internal/SlotShare.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "route/Router.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,9 +18,13 @@
   //! Longest time that a request of a dead instance may still use a slot.
   static constexpr std::chrono::seconds HandoverDelay{30};
 
-  InstanceView(std::vector<std::string> Instances, const std::string &Self);
+  InstanceView(std::vector<std::string> Instances, const std::string &Self,
+               const std::map<std::string, std::string> &Regions);
 
   const std::vector<std::string> &instances() const { return Instances_; }
+  bool inRegion(std::size_t Instance, const std::string &Region) const {
+    return Regions_[Instance] == Region;
+  }
   std::size_t self() const { return Self_; }
   //! Live is sorted.
   void setLive(const std::vector<std::string> &Live, base::TimePoint Now);
@@ -28,18 +34,24 @@
 
 private:
   std::vector<std::string> Instances_;
+  //! Empty names where the regions are not given.
+  std::vector<std::string> Regions_;
   std::size_t Self_ = 0;
   std::vector<std::optional<base::TimePoint>> DeadSince_;
   std::vector<bool> PassedOn_;
 };
 
+enum class ShareKind : uint8_t { Slots, Connections };
+
 //! The slots or connections of one upstream that belong to this instance: slot
 //! i belongs to the first live instance in rendezvous order of (upstream, i).
+//! For slots, instances of the upstream's region come first. Connections keep
+//! the plain order, because instances of other regions need some for the slots
+//! that they borrow.
 class SlotShare {
 public:
   SlotShare() = default;
-  //! Kind keeps the orders of slots and connections apart.
-  SlotShare(const std::string &Upstream, const std::string &Kind, int Count,
+  SlotShare(const UpstreamInfo &Upstream, ShareKind Kind,
             const InstanceView &View);
 
   int held() const { return Held_; }
--- a/src/route/internal/Upstream.cpp
+++ b/src/route/internal/Upstream.cpp
@@ -74,14 +74,15 @@
 Upstream::Upstream(UpstreamInfo Info, const InstanceView &View,
                    base::TimePoint Now)
     : Info_(std::move(Info)), State_(upstreamChart().initial()),
-      StateSince_(Now), Slots_(Info_.Id_, "/slot/", Info_.Slots_, View),
-      Connections_(Info_.Id_, "/connection/", Info_.Connections_, View) {}
+      StateSince_(Now), Slots_(Info_, ShareKind::Slots, View),
+      Connections_(Info_, ShareKind::Connections, View) {}
 
 void Upstream::update(UpstreamInfo Info, const InstanceView &View) {
-  if (Info.Slots_ != Info_.Slots_)
-    Slots_ = SlotShare(Info.Id_, "/slot/", Info.Slots_, View);
-  if (Info.Connections_ != Info_.Connections_)
-    Connections_ = SlotShare(Info.Id_, "/connection/", Info.Connections_, View);
+  bool Moved = Info.Region_ != Info_.Region_;
+  if (Moved || Info.Slots_ != Info_.Slots_)
+    Slots_ = SlotShare(Info, ShareKind::Slots, View);
+  if (Moved || Info.Connections_ != Info_.Connections_)
+    Connections_ = SlotShare(Info, ShareKind::Connections, View);
   Info_ = std::move(Info);
 }
 
--- a/src/route/internal/UpstreamSet.cpp
+++ b/src/route/internal/UpstreamSet.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+//! Probes and warm-up need no finer time; a scan of 1,100 upstreams on every
+//! tick would take a noticeable part of a core.
+constexpr std::chrono::milliseconds ScanInterval{50};
+//! Above this use of the slots, the free ones are mostly slow upstreams.
+constexpr double ComfortableUse = 0.75;
+
 bool isOut(const Upstream &U) {
   return U.state() == UpstreamState::Ejected ||
          U.state() == UpstreamState::Probing;
@@ -39,7 +45,7 @@
 
 UpstreamSet::UpstreamSet(const RouterSettings &Settings, base::Random &Rng)
     : Settings_(Settings), Rng_(Rng),
-      View_(Settings.Instances_, Settings.Self_) {}
+      View_(Settings.Instances_, Settings.Self_, Settings.InstanceRegions_) {}
 
 void UpstreamSet::set(std::vector<UpstreamInfo> Upstreams,
                       base::TimePoint Now) {
@@ -123,6 +129,9 @@
 
 void UpstreamSet::tick(base::TimePoint Now) {
   bool SharesMoved = View_.refresh(Now);
+  if (!SharesMoved && Now - Scanned_ < ScanInterval)
+    return;
+  Scanned_ = Now;
   for (auto &[Id, U] : Upstreams_) {
     if (SharesMoved)
       U->refreshShare(View_);
@@ -133,6 +142,17 @@
   }
 }
 
+int UpstreamSet::slotsShort(base::TimePoint Now) const {
+  int Held = 0;
+  int Used = 0;
+  for (const auto &[Id, U] : Upstreams_)
+    if (takesPart(*U) && U->info().Region_ == Settings_.Region_) {
+      Held += U->slotsHeld(Now);
+      Used += U->inFlight();
+    }
+  return std::max(0, static_cast<int>(Used - ComfortableUse * Held));
+}
+
 Upstream *UpstreamSet::find(const std::string &Id) {
   auto Found = Upstreams_.find(Id);
   return Found == Upstreams_.end() ? nullptr : Found->second.get();
--- a/src/route/internal/UpstreamSet.h
+++ b/src/route/internal/UpstreamSet.h
@@ -27,6 +27,8 @@
   //! Probes, returns, and slots that pass on.
   void tick(base::TimePoint Now);
 
+  //! Slots of the own region that are missing for a comfortable use.
+  int slotsShort(base::TimePoint Now) const;
   Upstream *find(const std::string &Id);
   //! Listed upstreams of the service, in the order of their ids.
   const Group &group(const std::string &Service) const;
@@ -57,6 +59,7 @@
   std::map<std::string, std::unique_ptr<Upstream>> Upstreams_;
   std::unordered_map<std::string, Group> Groups_;
   std::set<std::string> DomainsOut_;
+  base::TimePoint Scanned_{};
   uint64_t Ejections_ = 0;
 };
 
--- a/tests/route/Fleet.cpp
+++ b/tests/route/Fleet.cpp
@@ -45,6 +45,9 @@
   S.Pick_ = Policies[Seed_ % 4];
   S.RetryShare_ = 0.2;
   S.MaxQueued_ = 8;
+  if (Seed_ % 3 != 0)
+    for (std::size_t Each = 0; Each < RouterCount; ++Each)
+      S.InstanceRegions_["i" + std::to_string(Each)] = Regions[Each];
   S.Seed_ = Seed_ + I;
   return std::make_unique<route::Router>(S);
 }
