Judge deadlines by the fastest recent answer

Cause: attempts given up at their timeout counted as answer times, so after an outage of hanging upstreams the router refused requests with shorter deadlines until the samples had decayed, and sent none that could have shown otherwise. Change: a deadline is refused when it is nearer than the fastest answer of the last one to two seconds; without recent answers nothing is refused. Timeouts no longer enter the latencies of the service. The simulation gains an outage of hanging upstreams and the share answered in the time after an outage.

--- a/bench/RouteFigures.cpp
+++ b/bench/RouteFigures.cpp
@@ -100,15 +100,27 @@
   Scenario.Seconds_ = 50;
   Scenario.OutageFrom_ = 10;
   Scenario.OutageTo_ = 20;
-  RouteOutcome Out = simulate(Scenario);
-  emit({"route.outage.retries",
-        static_cast<double>(Out.OutageRetries_) /
-            static_cast<double>(Out.OutageRequests_),
-        "share of requests",
-        RetryTarget,
-        Better::Lower,
-        std::nullopt,
-        {}});
+  for (bool Hangs : {false, true}) {
+    Scenario.OutageHangs_ = Hangs;
+    RouteOutcome Out = simulate(Scenario);
+    std::string Name = Hangs ? "route.hanging-outage." : "route.outage.";
+    emit({Name + "retries",
+          static_cast<double>(Out.OutageRetries_) /
+              static_cast<double>(Out.OutageRequests_),
+          "share of requests",
+          RetryTarget,
+          Better::Lower,
+          std::nullopt,
+          {}});
+    emit({Name + "answered-afterwards",
+          static_cast<double>(Out.AfterGood_) /
+              static_cast<double>(Out.AfterRequests_),
+          "share of requests",
+          std::nullopt,
+          Better::Higher,
+          std::nullopt,
+          {}});
+  }
 }
 
 double bytesPerThousand(const RouteOutcome &Out) {
--- a/bench/RouteSim.cpp
+++ b/bench/RouteSim.cpp
@@ -170,6 +170,7 @@
   Requests_[Info.Id_].Began_ = Now_;
   ++Out_.Requests_;
   Out_.OutageRequests_ += inOutage() ? 1 : 0;
+  Out_.AfterRequests_ += afterOutage(Now_) ? 1 : 0;
   timed(Router, [&](route::Router &R) { R.begin(Info, now()); });
 }
 
@@ -180,6 +181,12 @@
          Second < Scenario_.OutageTo_ + 30;
 }
 
+bool RouteSim::afterOutage(int64_t Micros) const {
+  double Second = static_cast<double>(Micros) / SecondMicros;
+  return Scenario_.OutageTo_ >= 0 && Second >= Scenario_.OutageTo_ &&
+         Second < Scenario_.Seconds_ - base::toSeconds(Scenario_.Deadline_);
+}
+
 void RouteSim::timed(int Router,
                      const std::function<void(route::Router &)> &Call) {
   auto Start = std::chrono::steady_clock::now();
@@ -203,7 +210,9 @@
       O.Ended_ = true;
       double Ms = static_cast<double>(Now_ - O.Began_) / 1000;
       Out_.LatenciesMs_.push_back(Ms);
-      Out_.Good_ += Now_ - O.Began_ <= Scenario_.Deadline_.count() ? 1 : 0;
+      bool InTime = Now_ - O.Began_ <= Scenario_.Deadline_.count();
+      Out_.Good_ += InTime ? 1 : 0;
+      Out_.AfterGood_ += InTime && afterOutage(O.Began_) ? 1 : 0;
     } else if (const auto *No = std::get_if<route::RefuseAction>(&Action)) {
       Requests_[No->Request_].Ended_ = true;
     }
@@ -232,7 +241,11 @@
   int &Running = InFlight_[static_cast<std::size_t>(Upstream)];
   Out_.MostInFlight_ = std::max(Out_.MostInFlight_, ++Running);
   double Second = static_cast<double>(Now_) / SecondMicros;
-  if (Second >= Scenario_.OutageFrom_ && Second < Scenario_.OutageTo_)
+  bool Out = Second >= Scenario_.OutageFrom_ && Second < Scenario_.OutageTo_;
+  if (Out && Scenario_.OutageHangs_)
+    return push(Now_ + Send.Timeout_.count(), Kind::End, Router, Send.Request_,
+                Send.Attempt_, route::AttemptEnd::TimedOut);
+  if (Out)
     return push(Now_ + ConnectFailMicros, Kind::End, Router, Send.Request_,
                 Send.Attempt_, route::AttemptEnd::ConnectFailed);
   int64_t Delay = SameDomainMicros;
--- a/bench/RouteSim.h
+++ b/bench/RouteSim.h
@@ -27,6 +27,8 @@
   //! All upstreams fail between these instants.
   double OutageFrom_ = -1;
   double OutageTo_ = -1;
+  //! In the outage attempts get no answer instead of no connection.
+  bool OutageHangs_ = false;
   //! Failure domain that is out from the start; empty for none.
   std::string DomainOut_;
   //! Gives the routers the regions of the instances for the order of slots.
@@ -45,6 +47,9 @@
   //! Counted from the start of the outage to 30 s after its end.
   uint64_t OutageRequests_ = 0;
   uint64_t OutageRetries_ = 0;
+  //! Requests begun after the outage, and those that were answered in time.
+  uint64_t AfterRequests_ = 0;
+  uint64_t AfterGood_ = 0;
   uint64_t CrossBytes_ = 0;
   double RouterSeconds_ = 0;
   //! Most attempts at the same time on one upstream.
@@ -102,6 +107,9 @@
   void onSend(int Router, const route::SendAction &Send);
   int64_t serviceMicros(int Upstream);
   bool inOutage() const;
+  //! True for an instant after the outage in which no request is cut off by
+  //! the end of the run.
+  bool afterOutage(int64_t Micros) const;
   void timed(int Router, const std::function<void(route::Router &)> &Call);
   base::TimePoint now() const;
 
--- a/src/route/internal/LatencySketch.cpp
+++ b/src/route/internal/LatencySketch.cpp
@@ -15,7 +15,8 @@
 constexpr std::chrono::milliseconds RefreshInterval{50};
 //! Quantiles of fewer samples mean little.
 constexpr double MinSamples = 20;
-constexpr double LowShare = 0.1;
+constexpr std::chrono::seconds WindowLength{1};
+constexpr int MinAnswers = 20;
 constexpr double HighShare = 0.95;
 
 std::size_t bucketOf(base::Duration Latency, std::size_t Count) {
@@ -53,19 +54,41 @@
   Weights_[bucketOf(Latency, BucketCount)] += growth(Now);
 }
 
+void LatencySketch::addAnswer(base::Duration Latency, base::TimePoint Now) {
+  moveWindows(Now);
+  ++Present_.Answers_;
+  Present_.Fastest_ = std::min(Present_.Fastest_, Latency);
+  add(Latency, Now);
+}
+
+void LatencySketch::addAbandoned(base::Duration Age, base::TimePoint Now) {
+  add(Age, Now);
+}
+
+void LatencySketch::moveWindows(base::TimePoint Now) {
+  if (Now - PresentSince_ < WindowLength)
+    return;
+  bool Adjacent = Now - PresentSince_ < 2 * WindowLength;
+  Former_ = Adjacent ? Present_ : Window();
+  Present_ = Window();
+  PresentSince_ = Now;
+}
+
 void LatencySketch::refresh(base::TimePoint Now) {
   if (Now - Computed_ < RefreshInterval)
     return;
   Computed_ = Now;
+  moveWindows(Now);
+  Fastest_ = std::nullopt;
+  if (Present_.Answers_ + Former_.Answers_ >= MinAnswers)
+    Fastest_ = std::min(Present_.Fastest_, Former_.Fastest_);
   rescale(Now);
   double Sum = std::accumulate(Weights_.begin(), Weights_.end(), 0.0);
   if (Sum < MinSamples * growth(Now)) {
-    Low_ = Median_ = High_ = std::nullopt;
+    Median_ = High_ = std::nullopt;
     return;
   }
-  // The lower edge refuses no deadline too early; with the upper edge, equal
-  // latencies are not hedged just before they end.
-  Low_ = valueOf(quantile(LowShare, Sum), 0);
+  // With the upper edge, equal latencies are not hedged just before they end.
   Median_ = valueOf(quantile(0.5, Sum), 0.5);
   High_ = valueOf(quantile(HighShare, Sum), 1);
 }
--- a/src/route/internal/LatencySketch.h
+++ b/src/route/internal/LatencySketch.h
@@ -12,9 +12,13 @@
 //! whose weights halve every few seconds.
 class LatencySketch {
 public:
-  void add(base::Duration Latency, base::TimePoint Now);
+  void addAnswer(base::Duration Latency, base::TimePoint Now);
+  //! An attempt was given up after Age: its latency would have been longer.
+  void addAbandoned(base::Duration Age, base::TimePoint Now);
+  //! Fastest answer of the last one to two seconds; none after few answers, so
+  //! that a limit derived from it ends by itself when no more answers come.
+  std::optional<base::Duration> fastest() const { return Fastest_; }
   //! None while too few recent samples are held.
-  std::optional<base::Duration> low() const { return Low_; }
   std::optional<base::Duration> median() const { return Median_; }
   std::optional<base::Duration> high() const { return High_; }
   //! Recomputes the quantiles when they are old.
@@ -23,6 +27,13 @@
 private:
   static constexpr std::size_t BucketCount = 128;
 
+  struct Window {
+    int Answers_ = 0;
+    base::Duration Fastest_ = base::Duration::max();
+  };
+
+  void add(base::Duration Latency, base::TimePoint Now);
+  void moveWindows(base::TimePoint Now);
   double growth(base::TimePoint Now) const;
   void rescale(base::TimePoint Now);
   //! Bucket of the quantile.
@@ -31,7 +42,10 @@
   std::array<double, BucketCount> Weights_{};
   base::TimePoint Origin_{};
   base::TimePoint Computed_{};
-  std::optional<base::Duration> Low_;
+  Window Present_;
+  Window Former_;
+  base::TimePoint PresentSince_{};
+  std::optional<base::Duration> Fastest_;
   std::optional<base::Duration> Median_;
   std::optional<base::Duration> High_;
 };
--- a/src/route/internal/RouterRequests.cpp
+++ b/src/route/internal/RouterRequests.cpp
@@ -67,9 +67,9 @@
     return false;
   }
   if (!canMeet(Request.Deadline_, Request.Service_, Now)) {
-    refuseUnknownRecord(Request, base::ErrorKind::DeadlineBeforeSend,
-                        "the deadline is nearer than the fastest tenth of "
-                        "recent answers");
+    refuseUnknownRecord(
+        Request, base::ErrorKind::DeadlineBeforeSend,
+        "the deadline is nearer than the fastest recent answer");
     return false;
   }
   return true;
@@ -78,7 +78,7 @@
 bool Router::Impl::canMeet(base::TimePoint Deadline, const std::string &Service,
                            base::TimePoint Now) {
   return Deadline - Now >
-         stats(Service, Now).Latency_.low().value_or(base::Duration(0));
+         stats(Service, Now).Latency_.fastest().value_or(base::Duration(0));
 }
 
 bool Router::Impl::enqueue(RequestRecord &Record, base::TimePoint Now) {
@@ -90,7 +90,8 @@
       return false;
   }
   const std::string &Service = Record.Info_.Service_;
-  auto Least = stats(Service, Now).Latency_.low().value_or(base::Duration(0));
+  auto Least =
+      stats(Service, Now).Latency_.fastest().value_or(base::Duration(0));
   Record.Queue_.Since_ = Now;
   Record.QueueEnd_ =
       std::min(Now + Settings_.QueueLimit_, Record.Info_.Deadline_ - Least);
--- a/src/route/internal/RouterResults.cpp
+++ b/src/route/internal/RouterResults.cpp
@@ -99,7 +99,7 @@
       Upstreams_.afterFailure(U, false, Now);
       return;
     }
-    Latency.add(Age, Now);
+    Latency.addAnswer(Age, Now);
     U.recordAnswer(Age, Now);
     Upstreams_.afterSuccess(U, Now);
     return;
@@ -107,11 +107,11 @@
     // Without these samples the quantiles would forget the slow answers that
     // hedges replace, and more and more requests would be hedged.
     if (Age > Latency.high().value_or(Age))
-      Latency.add(Age, Now);
+      Latency.addAbandoned(Age, Now);
     U.recordAbandoned(Age, Now);
     return;
+  // Timeouts stand for the deadlines of callers, not for the service.
   case AttemptEnd::TimedOut:
-    Latency.add(Age, Now);
     U.recordAbandoned(Age, Now);
     break;
   case AttemptEnd::Busy:
--- a/tests/route/Router.tests.cpp
+++ b/tests/route/Router.tests.cpp
@@ -41,7 +41,7 @@
     Info.Idempotent_ = Idempotent;
     Info.Deferrable_ = Deferrable;
     Info.MaxConcurrent_ = MaxConcurrent_;
-    Info.Deadline_ = Now_ + seconds(10);
+    Info.Deadline_ = Now_ + Deadline_;
     Router_->begin(Info, Now_);
     take();
     return Info.Id_;
@@ -94,6 +94,7 @@
   base::TimePoint Now_{std::chrono::hours(1)};
   uint64_t LastId_ = 0;
   int64_t MaxConcurrent_ = 0;
+  base::Duration Deadline_ = seconds(10);
   std::vector<route::SendAction> Sends_;
   std::vector<route::RefuseAction> Refusals_;
   std::vector<route::CancelAction> Cancels_;
@@ -260,6 +261,27 @@
   CHECK(B.Refusals_.size() == 1);
 }
 
+// Guards against an outage that the router prolongs: the times at which
+// attempts were given up once counted as answer times, and every deadline then
+// seemed too near.
+TEST_CASE("after an outage of hanging upstreams requests are sent again") {
+  Bench B(4, 8);
+  B.serve(20);
+  B.Deadline_ = seconds(2);
+  for (int I = 0; I < 20; ++I) {
+    std::size_t Before = B.Sends_.size();
+    for (int Each = 0; Each < 24; ++Each)
+      B.begin(false);
+    B.advance(seconds(2));
+    for (std::size_t S = Before; S < B.Sends_.size(); ++S)
+      B.end(B.Sends_[S], AttemptEnd::TimedOut);
+  }
+  B.Deadline_ = seconds(1);
+  std::size_t Before = B.Sends_.size();
+  B.begin(false);
+  CHECK(B.Sends_.size() == Before + 1);
+}
+
 // Guards against requests that fill the link between the regions, or that cross
 // it while a slot is free at home.
 TEST_CASE("requests cross regions only without a slot and within the budget") {
