--- a/src/route/internal/LatencySketch.cpp
+++ b/src/route/internal/LatencySketch.cpp
@@ -15,7 +15,8 @@
 constexpr std::chrono::milliseconds RefreshInterval{50};
 //! Quantiles of fewer samples mean little.
 constexpr double MinSamples = 20;
-constexpr double LowShare = 0.1;
+constexpr std::chrono::seconds WindowLength{1};
+constexpr int MinAnswers = 20;
 constexpr double HighShare = 0.95;
 
 std::size_t bucketOf(base::Duration Latency, std::size_t Count) {
@@ -25,10 +26,10 @@
   return std::min(static_cast<std::size_t>(Top) * 4 + Quarter, Count - 1);
 }
 
-//! Middle of the bucket.
-base::Duration valueOf(std::size_t Bucket) {
+//! Value at a part of the bucket, from 0 to 1.
+base::Duration valueOf(std::size_t Bucket, double Part) {
   double Base = std::ldexp(1.0, static_cast<int>(Bucket / 4));
-  double Value = Base * (1 + (static_cast<double>(Bucket % 4) + 0.5) / 4);
+  double Value = Base * (1 + (static_cast<double>(Bucket % 4) + Part) / 4);
   return base::Duration(static_cast<int64_t>(Value));
 }
 
@@ -53,29 +54,53 @@
   Weights_[bucketOf(Latency, BucketCount)] += growth(Now);
 }
 
+void LatencySketch::addAnswer(base::Duration Latency, base::TimePoint Now) {
+  moveWindows(Now);
+  ++Present_.Answers_;
+  Present_.Fastest_ = std::min(Present_.Fastest_, Latency);
+  add(Latency, Now);
+}
+
+void LatencySketch::addAbandoned(base::Duration Age, base::TimePoint Now) {
+  add(Age, Now);
+}
+
+void LatencySketch::moveWindows(base::TimePoint Now) {
+  if (Now - PresentSince_ < WindowLength)
+    return;
+  bool Adjacent = Now - PresentSince_ < 2 * WindowLength;
+  Former_ = Adjacent ? Present_ : Window();
+  Present_ = Window();
+  PresentSince_ = Now;
+}
+
 void LatencySketch::refresh(base::TimePoint Now) {
   if (Now - Computed_ < RefreshInterval)
     return;
   Computed_ = Now;
+  moveWindows(Now);
+  Fastest_ = std::nullopt;
+  if (Present_.Answers_ + Former_.Answers_ >= MinAnswers)
+    Fastest_ = std::min(Present_.Fastest_, Former_.Fastest_);
   rescale(Now);
   double Sum = std::accumulate(Weights_.begin(), Weights_.end(), 0.0);
   if (Sum < MinSamples * growth(Now)) {
-    Low_ = Median_ = High_ = std::nullopt;
+    Median_ = High_ = std::nullopt;
     return;
   }
-  Low_ = quantile(LowShare, Sum);
-  Median_ = quantile(0.5, Sum);
-  High_ = quantile(HighShare, Sum);
+  // With the upper edge, equal latencies are not hedged just before they end.
+  Median_ = valueOf(quantile(0.5, Sum), 0.5);
+  High_ = valueOf(quantile(HighShare, Sum), 1);
 }
 
-base::Duration LatencySketch::quantile(double Share, double Sum) const {
+std::size_t LatencySketch::quantile(double Share, double Sum) const {
   double Rest = Share * Sum;
   for (std::size_t I = 0; I < BucketCount; ++I) {
     Rest -= Weights_[I];
     if (Rest <= 0)
-      return valueOf(I);
+      return I;
   }
-  return valueOf(BucketCount - 1);
+  return BucketCount - 1;
 }
 
 } // namespace crocuslead::route
--- a/src/route/internal/Picker.cpp
+++ b/src/route/internal/Picker.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 //! An upstream of the near failure domain is taken unless one in another
-//! domain promises an answer in less than half the time.
-constexpr double FarDomainFactor = 2;
+//! domain promises an answer in clearly less time. A factor of 2 raised the p99
+//! of the simulated noisy wave from 439 to 462 ms with 8 routers and from 335
+//! to 365 ms with one; 1.5 made no difference.
+constexpr double FarDomainFactor = 1.2;
 //! Probes use idempotent requests, because a failed probe can then be retried;
 //! a service without any is probed with what it has after this time.
 constexpr std::chrono::seconds PatientProbe{5};
