End exchanges that wait for a connection at their timeout

Cause: with a limit of connections to one address, libcurl runs no timeout for an exchange that waits for a connection. One hung upstream would hold all exchanges behind it.

Change: such exchanges get an Asio timer that ends them as ConnectFailed, since nothing was sent. A second new case covers a connection lost while a 32 MiB body is being sent. The store test's calls that are meant to time out do so after 50 ms instead of 2 s.

--- a/src/http/MultiCore.cpp
+++ b/src/http/MultiCore.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 MultiCore::MultiCore(asio::io_context &Loop, long MaxPerHost)
-    : Loop_(Loop), Timer_(Loop), Multi_(nullptr) {
+    : Loop_(Loop), Timer_(Loop), Multi_(nullptr),
+      LimitsConnections_(MaxPerHost > 0) {
   initCurl();
   Multi_ = curl_multi_init();
   if (!Multi_)
@@ -48,6 +49,7 @@
     curl_multi_remove_handle(Multi_, Easy);
   }
   Running_.clear();
+  Deadlines_.clear();
   IdleEasy_.clear();
   // Closes the idle connections; the socket callback drops their watches.
   curl_multi_cleanup(Multi_);
@@ -83,10 +85,28 @@
     Running_.erase(Made->easy());
     Made->settle(CURLE_FAILED_INIT);
     asio::post(Loop_, [Made] { Made->callBack(); });
+  } else if (LimitsConnections_) {
+    limitWaiting(Made);
   }
   return Made;
 }
 
+// libcurl's own timeout does not run while an exchange waits for one of the
+// limited connections.
+void MultiCore::limitWaiting(const std::shared_ptr<Transfer> &Target) {
+  auto [It, Added] = Deadlines_.try_emplace(Target->easy(), Loop_);
+  It->second.expires_after(Target->timeout());
+  It->second.async_wait(
+      [Core = weak_from_this(),
+       Waiting = std::weak_ptr<Transfer>(Target)](auto Error) {
+        auto Self = Core.lock();
+        auto One = Waiting.lock();
+        if (!Error && Self && One && !One->requestStarted() &&
+            Self->Running_.count(One->easy()) != 0)
+          Self->end(One, CURLE_OPERATION_TIMEDOUT);
+      });
+}
+
 void MultiCore::cancel(const std::shared_ptr<Transfer> &Target) {
   Target->cancel();
   if (!Down_ && Running_.count(Target->easy()) != 0)
@@ -98,6 +118,7 @@
   Total_.BytesReceived_ += Target->bytesReceived();
   curl_multi_remove_handle(Multi_, Target->easy());
   Running_.erase(Target->easy());
+  Deadlines_.erase(Target->easy());
   EasyHandle Easy = Target->takeEasy();
   if (IdleEasy_.size() < MaxIdleEasyHandles) {
     curl_easy_reset(Easy.get());
@@ -230,10 +251,14 @@
     if (It == Running_.end())
       continue;
     auto Finished = It->second;
-    Finished->settle(Code);
-    remove(Finished);
-    Finished->callBack();
+    end(Finished, Code);
   }
 }
 
+void MultiCore::end(const std::shared_ptr<Transfer> &Target, CURLcode Code) {
+  Target->settle(Code);
+  remove(Target);
+  Target->callBack();
+}
+
 } // namespace crocuslead::http::internal
--- a/src/http/internal/MultiCore.h
+++ b/src/http/internal/MultiCore.h
@@ -51,6 +51,8 @@
   void deliverAll();
   void collectFinished();
   void remove(const std::shared_ptr<Transfer> &Target);
+  void end(const std::shared_ptr<Transfer> &Target, CURLcode Code);
+  void limitWaiting(const std::shared_ptr<Transfer> &Target);
   EasyHandle takeEasy();
 
   asio::io_context &Loop_;
@@ -58,6 +60,9 @@
   CURLM *Multi_;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches_;
   std::unordered_map<CURL *, std::shared_ptr<Transfer>> Running_;
+  //! End the exchanges that still wait for a connection at their timeout.
+  std::unordered_map<CURL *, asio::steady_timer> Deadlines_;
+  bool LimitsConnections_;
   std::vector<EasyHandle> IdleEasy_;
   //! Handles of streamed exchanges with parts to deliver.
   std::vector<CURL *> Ready_;
--- a/src/http/internal/Transfer.h
+++ b/src/http/internal/Transfer.h
@@ -42,6 +42,9 @@
   //! Drops the callbacks.
   void cancel();
 
+  //! From then on the peer may have acted on the request.
+  bool requestStarted() const { return Sendings_ > 0; }
+  base::Duration timeout() const { return Request_.Timeout_; }
   uint64_t bytesSent() const;
   uint64_t bytesReceived() const { return HeaderBytes_ + BodyBytes_; }
 
@@ -59,8 +62,6 @@
   void markReady();
   ExchangeFailure classify(CURLcode Code) const;
   bool lengthIsKnown() const;
-  //! From then on the peer may have acted on the request.
-  bool requestStarted() const { return Sendings_ > 0; }
   uint64_t requestHeaderBytes(bool HasBody) const;
 
   EasyHandle Easy_;
--- a/tests/http/Client.tests.cpp
+++ b/tests/http/Client.tests.cpp
@@ -241,3 +241,36 @@
   runUntil(Loop, [&] { return Done == 10; });
   CHECK(Fake.Connections_ == 2);
 }
+
+// Guards against exchanges that wait for a connection beyond their time.
+TEST_CASE("an exchange that waits for a connection times out unsent") {
+  asio::io_context Loop;
+  auto Client = http::makeClient(Loop, 1);
+  RawServer Fake(Loop, {{""}});
+  http::ClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = Fake.url();
+  Request.Timeout_ = std::chrono::hours(1);
+  auto First = Client->send(Request, [](auto) {});
+  runUntil(Loop, [&] { return Fake.Requests_.size() == 1; });
+  Request.Timeout_ = std::chrono::milliseconds(50);
+  std::optional<ExchangeFailure> Got;
+  auto Second = Client->send(Request, [&](auto R) { Got = R.Failure_; });
+  runUntil(Loop, [&] { return Got.has_value(); });
+  CHECK(*Got == ExchangeFailure::ConnectFailed);
+  CHECK(Fake.Requests_.size() == 1);
+}
+
+// Guards against ConnectFailed for a request whose body was on its way.
+TEST_CASE_FIXTURE(Fixture, "a connection lost while the body is sent is a "
+                           "reset") {
+  asio::ip::tcp::acceptor Listener(Loop_,
+                                   {asio::ip::address_v4::loopback(), 0});
+  Listener.async_accept([](auto, asio::ip::tcp::socket S) {
+    S.set_option(asio::socket_base::linger(true, 0));
+  });
+  auto Port = std::to_string(Listener.local_endpoint().port());
+  auto Result = post("http://127.0.0.1:" + Port + "/",
+                     std::string(std::size_t{32} << 20U, 'x'));
+  CHECK(Result.Failure_ == ExchangeFailure::Reset);
+}
--- a/tests/store/EtcdStore.tests.cpp
+++ b/tests/store/EtcdStore.tests.cpp
@@ -167,7 +167,7 @@
         StreamHeader + chunk("not JSON\n" + event(5)),
         StreamHeader + chunk(event(5)) + "0\r\n\r\n"}) {
     CAPTURE(Answer);
-    serve({{Answer}});
+    serve({{Answer}}, std::chrono::milliseconds(50));
     int Errors = 0;
     auto Watch = Store_->watch(
         "foo", "", 1, [&](auto R) { Errors += R.index() == 1 ? 1 : 0; });
