--- a/src/link/internal/Transport.cpp
+++ b/src/link/internal/Transport.cpp
@@ -24,7 +24,9 @@
 constexpr unsigned UnackedLimitMs = 10'000;
 
 // NOLINTBEGIN(readability-identifier-naming): names that websocketpp looks up.
-//! Configuration of websocketpp: one loop thread, no log, no compression.
+//! Configuration of websocketpp: one loop thread, no log. The base offers no
+//! compression; enable_extensions must stay true, because a client of 0.8.2
+//! fails every handshake without it.
 struct WsConfig : websocketpp::config::core {
   using type = WsConfig;
   using base = websocketpp::config::core;
@@ -35,7 +37,6 @@
       websocketpp::random::random_device::int_generator<uint32_t,
                                                         concurrency_type>;
   static const bool enable_multithreading = false;
-  static const bool enable_extensions = false;
   static const long timeout_open_handshake = 3000;
   static const long timeout_close_handshake = 1000;
   static const std::size_t max_http_body_size = 1024;
