Judge feasibility anew when the fleet grows

Cause: a task judged infeasible but held back by the decision limit was rejected even if a worker that could hold it had come meanwhile. Change: a new capacity, or more workers of one, has waiting tasks judged again before any rejection; the remainder of a gang that was rejected in part is still rejected.

--- a/src/schedule/Planner.cpp
+++ b/src/schedule/Planner.cpp
@@ -26,7 +26,7 @@
   Reason whyPending(const internal::Entry &Waiting);
 
   internal::State State_;
-  //! Found infeasible, with the nearest request that fits.
+  //! Found infeasible and not yet rejected.
   std::deque<std::pair<TaskNumber, base::Resources>> Rejected_;
   uint64_t CapacityVersion_ = 0;
 };
@@ -92,19 +92,24 @@
 }
 
 void Planner::Impl::reject(std::size_t Limit, std::vector<Decision> &Out) {
-  if (CapacityVersion_ != State_.Fleet_.capacityVersion())
+  if (CapacityVersion_ != State_.Fleet_.capacityVersion()) {
+    Rejected_.clear();
     State_.Queue_.recheckAll();
+  }
   CapacityVersion_ = State_.Fleet_.capacityVersion();
   for (Shape *Each : State_.Queue_.takeUnchecked()) {
-    if (!Each->complete())
+    // What is left of a gang that was rejected in part can never start.
+    bool Remainder = Each->Infeasible_ && !Each->complete();
+    if (!Remainder && !Each->complete())
       continue;
     auto Nearest = nearestFit(State_.Fleet_, *Each);
-    Each->Infeasible_ = Nearest.has_value();
-    if (!Nearest)
+    Each->Infeasible_ = Remainder || Nearest.has_value();
+    if (!Each->Infeasible_)
       continue;
     for (auto *Waiting = Each->Head_; Waiting != nullptr;
          Waiting = Waiting->Next_)
-      Rejected_.emplace_back(Waiting->Task_.Task_, *Nearest);
+      Rejected_.emplace_back(Waiting->Task_.Task_,
+                             Nearest.value_or(Waiting->Task_.Request_));
   }
   while (Out.size() < Limit && !Rejected_.empty()) {
     auto [Task, Nearest] = Rejected_.front();
--- a/src/schedule/internal/Fleet.cpp
+++ b/src/schedule/internal/Fleet.cpp
@@ -70,7 +70,10 @@
                   Capacity.Accelerators_};
   CapacityCount &Count = Capacities_[Key];
   Count.Workers_ += static_cast<uint32_t>(Change);
-  Count.Peak_ = std::max(Count.Peak_, Count.Workers_);
+  if (Count.Workers_ > Count.Peak_) {
+    Count.Peak_ = Count.Workers_;
+    ++CapacityVersion_;
+  }
   Count.LastSeen_ = Now_;
 }
 
--- a/src/schedule/internal/Fleet.h
+++ b/src/schedule/internal/Fleet.h
@@ -94,7 +94,7 @@
   const std::map<CapacityKey, CapacityCount> &capacities() const {
     return Capacities_;
   }
-  //! Changes whenever a capacity is dropped.
+  //! Changes whenever what the fleet could hold changes.
   uint64_t capacityVersion() const { return CapacityVersion_; }
 
 private:
--- a/tests/schedule/Planner.tests.cpp
+++ b/tests/schedule/Planner.tests.cpp
@@ -262,6 +262,33 @@
   CHECK(Plan.pendingCount() == 0);
 }
 
+// Guards against a rejection that was judged before a larger worker came.
+TEST_CASE("a task is not rejected when a worker that could hold it has come") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 4000));
+  Plan.addPending(batch(1, 6000));
+  CHECK(Plan.plan(Start, 0).empty());
+  Plan.upsertWorker(worker(2, 8000));
+  auto Made = Plan.plan(Start, Many);
+  REQUIRE(Made.size() == 1);
+  CHECK(Made[0].Kind_ == DecisionKind::Start);
+}
+
+// Guards against members that wait forever after one of them was rejected.
+TEST_CASE("an infeasible gang is rejected whole under a small limit") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 4000));
+  for (TaskNumber I = 1; I <= 3; ++I) {
+    auto Task = batch(I, I == 1 ? 6000 : 1000);
+    Task.Gang_ = 5;
+    Task.GangSize_ = 3;
+    Plan.addPending(Task);
+  }
+  for (int Round = 0; Round < 3; ++Round)
+    CHECK(Plan.plan(Start, 1).size() == 1);
+  CHECK(Plan.pendingCount() == 0);
+}
+
 // Guards against a replaced instance making its work infeasible meanwhile.
 TEST_CASE("work that fits only a worker that just left is not rejected") {
   Planner Plan;
