State the wire form and the order of calls in the headers

Cause: field numbers are written as text keys, since the reader of nlohmann-json refuses integer keys; the header said integers. Change: comments only. Conclusion: the headers say what the code does.

--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -161,8 +161,9 @@
                  AnswerFetchReply, OperatorCall, OperatorReply, TransferOffer,
                  TransferAccept, SlotLend>;
 
-//! CBOR form: an array of the message's number and a map with integer field
-//! numbers.
+//! CBOR form: an array of the message's number and a map from field number to
+//! value. Field numbers are decimal text, the only keys that nlohmann-json
+//! accepts; strings are byte strings. Fields with default values are omitted.
 std::string encode(const Message &Value);
 //! Skips unknown fields; fails on anything malformed or on an unknown message
 //! number.
--- a/src/member/Membership.h
+++ b/src/member/Membership.h
@@ -49,6 +49,7 @@
   void setOwnState(int64_t ConfigRevision, int64_t StoreContactAgeMs,
                    bool Draining, uint32_t SlotDemand);
 
+  //! Call it before the first message of a new connection is passed on.
   void peerConnected(const std::string &Peer, bool Connected,
                      base::TimePoint Now);
   void received(const std::string &Peer, const std::string &Incarnation,
