Delay some worker messages in the fuzzer beyond a start's deadline

Cause: messages took at most 0.4 s, so no start was ever late on its way. Change: one message in 50 takes up to 8 s. Conclusion: the deadline on the worker's clock is exercised.

--- a/tests/partition/World.cpp
+++ b/tests/partition/World.cpp
@@ -554,7 +554,11 @@
   };
   bool LoseRequest = lose();
   bool LoseReply = lose();
-  at(delay(), [this, Epoch, Message, Fail, LoseRequest, LoseReply] {
+  // Some messages take longer than a start's deadline; the answer then waits.
+  int64_t Way = LoseAnswers_ > 0 && Random_.below(50) == 0
+                    ? static_cast<int64_t>(Random_.below(8000))
+                    : delay();
+  at(Way, [this, Epoch, Message, Fail, LoseRequest, LoseReply] {
     auto Found = std::find_if(Workers_.begin(), Workers_.end(),
                               [&Message](const FakeWorker &W) {
                                 return W.Id_ == Message.Request_.Worker_;
