--- a/src/app/Instance.cpp
+++ b/src/app/Instance.cpp
@@ -20,6 +20,7 @@
 constexpr auto LendInterval = std::chrono::seconds(1);
 constexpr auto LoadInterval = std::chrono::seconds(10);
 constexpr auto LoadChangeInterval = std::chrono::seconds(2);
+constexpr auto PullInterval = std::chrono::seconds(1);
 constexpr auto SlotTerm = std::chrono::seconds(5);
 // The platform's balancer needs a moment to see that readiness is off.
 constexpr auto AcceptAfterDrain = std::chrono::seconds(2);
@@ -51,9 +52,9 @@
       RequestClient_(http::makeClient(Loop, 0)),
       ControlClient_(http::makeClient(Loop, ControlConnectionsPerHost)),
       Store_(store::makeEtcdStore(*ControlClient_, Loop, Settings.StoreUrl_)),
-      List_(platform::makeHttpInstanceList(*ControlClient_,
+      List_(platform::makeHttpInstanceList(*ControlClient_, Loop,
                                            Settings.InstanceListUrl_)),
-      Workers_(platform::makeHttpWorkerGateway(*ControlClient_, {})),
+      Workers_(platform::makeHttpWorkerGateway(*ControlClient_, Loop, {})),
       Session_(Shared_, *Store_),
       Peers_(Shared_,
              [this](const std::string &Peer, link::Message Message) {
@@ -201,11 +202,14 @@
 void Instance::tickPeers() {
   base::TimePoint Now = Shared_.Clock_.now();
   Peers_.tick({Session_.config().revision(), Session_.contactAgeMs(Now),
-               Draining_, static_cast<uint32_t>(Requests_.router().queued())});
+               Draining_,
+               static_cast<uint32_t>(Requests_.router().shortage())});
   updateLive();
   std::string Newer = Peers_.newerConfigPeer(Session_.config().revision());
-  if (!Newer.empty())
+  if (!Newer.empty() && Now >= NextPull_) {
+    NextPull_ = Now + PullInterval;
     Peers_.send(Newer, link::ConfigPull{Session_.config().revision()});
+  }
   std::vector<uint64_t> Late;
   for (const auto &[Number, Call] : AnswerCalls_)
     if (Now >= Call.Deadline_)
--- a/src/app/Instance.h
+++ b/src/app/Instance.h
@@ -89,6 +89,7 @@
   std::map<uint64_t, AnswerCall> AnswerCalls_;
   uint64_t NextAnswerCall_ = 1;
   base::TimePoint NextLoad_;
+  base::TimePoint NextPull_;
   std::string LastLoad_;
   bool Draining_ = false;
   bool LeaseRevoked_ = false;
--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -285,7 +285,7 @@
         if (!Outcome) {
           base::logEvent(base::LogLevel::Error, "partition-recovery-failed",
                          {{"partition", Id}});
-          acquireFailed(Id);
+          deleteOwner(Id, Epoch, [this, Id] { acquireFailed(Id); });
           return;
         }
         base::logEvent(base::LogLevel::Info, "partition-acquired",
@@ -321,14 +321,9 @@
   std::string Id = Target.Id_;
   Claims_.handOver(Id, Target.Epoch_,
                    Ownership_->preferredOwner(Id).value_or(""));
-  store::Txn Txn;
-  std::string OwnerKey = OwnerPrefix + Id;
-  Txn.Compares_ = {
-      {OwnerKey, store::CompareTarget::CreateRevision, Target.Epoch_}};
-  Txn.Deletes_ = {{OwnerKey, ""}};
   // Whatever the answer, this epoch is over: the owner key is gone or ends
   // with the lease.
-  Session_.store().txn(std::move(Txn), [this, Id](const auto &) {
+  deleteOwner(Id, Target.Epoch_, [this, Id] {
     base::logEvent(base::LogLevel::Info, "partition-yielded",
                    {{"partition", Id}});
     abandon(Id);
@@ -336,6 +331,22 @@
   });
 }
 
+void PartitionHost::deleteOwner(const std::string &Id, int64_t Epoch,
+                                std::function<void()> Done) {
+  store::Txn Txn;
+  std::string OwnerKey = OwnerPrefix + Id;
+  Txn.Compares_ = {{OwnerKey, store::CompareTarget::CreateRevision, Epoch}};
+  Txn.Deletes_ = {{OwnerKey, ""}};
+  Session_.store().txn(std::move(Txn),
+                       [Done = std::move(Done)](const auto &) { Done(); });
+}
+
+void PartitionHost::endFenced(const std::string &Id, int64_t Epoch) {
+  abandon(Id);
+  Ownership_->epochEnded(Id, Shared_.Clock_.now());
+  deleteOwner(Id, Epoch, [this] { Session_.refresh(); });
+}
+
 void PartitionHost::abandon(const std::string &Id) {
   auto Found = Hosted_.find(Id);
   if (Found == Hosted_.end())
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -82,6 +82,11 @@
   void yield(const std::string &Id);
   void continueYield(Hosted &Target);
   void abandon(const std::string &Id);
+  //! Ends an epoch whose commits are refused, and deletes the owner key if it
+  //! is still this epoch's.
+  void endFenced(const std::string &Id, int64_t Epoch);
+  void deleteOwner(const std::string &Id, int64_t Epoch,
+                   std::function<void()> Done);
   void feed(Hosted &Target);
   void perform(Hosted &Target);
   Hosted *find(const std::string &Id, int64_t Epoch);
--- a/src/app/PeerHub.cpp
+++ b/src/app/PeerHub.cpp
@@ -52,6 +52,9 @@
   base::TimePoint Now = Shared_.Clock_.now();
   if (const auto *AsPing = std::get_if<link::Ping>(&Message)) {
     Members_.received(Peer, Incarnation, *AsPing, Now);
+    // The pong leaves at once: late ones would not count as evidence.
+    for (auto &[To, Answer] : Members_.tick(Now))
+      send(To, Answer);
     return;
   }
   if (const auto *AsPong = std::get_if<link::Pong>(&Message)) {
--- a/src/app/RequestPath.cpp
+++ b/src/app/RequestPath.cpp
@@ -18,19 +18,25 @@
 struct ClaimRefusal {
   route::ClaimVerdict Verdict_;
   base::ErrorKind Kind_;
+  base::Outcome Outcome_;
   const char *Message_;
 };
 
 constexpr ClaimRefusal ClaimRefusals[] = {
     {route::ClaimVerdict::InProgress, base::ErrorKind::KeyInProgress,
-     "a request with this key is in progress"},
+     base::Outcome::Unknown, "a request with this key is in progress"},
     {route::ClaimVerdict::Spent, base::ErrorKind::KeySpent,
+     base::Outcome::NotRun,
      "a request with this key was refused; use a new key"},
     {route::ClaimVerdict::FingerprintMismatch, base::ErrorKind::Conflict,
-     "this key came with another request"},
+     base::Outcome::NotRun, "this key came with another request"},
     {route::ClaimVerdict::Unknown, base::ErrorKind::OutcomeUnknown,
+     base::Outcome::Unknown,
      "it is not known whether a request with this key ran"},
+    // The key may have run more than a day ago, or may be granted to a
+    // duplicate when its issue time has come.
     {route::ClaimVerdict::BadIssueTime, base::ErrorKind::InvalidRequest,
+     base::Outcome::Unknown,
      "the key's time lies more than 5 s in the future or 24 h in the past"},
 };
 
@@ -41,6 +47,8 @@
   Out.Region_ = Shared.Settings_.Region_;
   for (const config::PeerSettings &Each : Shared.Settings_.Instances_)
     Out.Instances_.push_back(Each.Id_);
+  for (const config::PeerSettings &Each : Shared.Settings_.Instances_)
+    Out.InstanceRegions_[Each.Id_] = Each.Region_;
   Out.QueueLimit_ = std::chrono::milliseconds(Shared.Settings_.QueueLimitMs_);
   Out.RetryShare_ = Shared.Settings_.RetryShare_;
   Out.CrossRegionBytesPerSecond_ = Shared.Settings_.CrossRegionBytesPerSecond_;
@@ -93,7 +101,9 @@
   const auto &Workspaces = Hooks_.Configuration_().Workspaces_;
   auto Found = Workspaces.find(Parsed.Workspace_);
   if (Found == Workspaces.end() || Found->second.Service_.empty()) {
-    refuse(Target, base::ErrorKind::NotFound, base::Outcome::NotRun,
+    // Another instance may know the workspace and have run the key.
+    refuse(Target, base::ErrorKind::NotFound,
+           Parsed.Key_.empty() ? base::Outcome::NotRun : base::Outcome::Unknown,
            "no workspace '" + Parsed.Workspace_ + "' with a service");
     return;
   }
@@ -153,8 +163,7 @@
   }
   for (const ClaimRefusal &Row : ClaimRefusals)
     if (Row.Verdict_ == Reply.Verdict_) {
-      refuse(*Target, Row.Kind_, base::errorInfo(Row.Kind_).Outcome_,
-             Row.Message_);
+      refuse(*Target, Row.Kind_, Row.Outcome_, Row.Message_);
       return;
     }
 }
--- a/src/app/internal/HostedPartition.cpp
+++ b/src/app/internal/HostedPartition.cpp
@@ -35,6 +35,7 @@
   Out.Id_ = Id;
   Out.Epoch_ = Epoch;
   Out.OwnerKey_ = OwnerPrefix + Id;
+  Out.KeyPrefix_ = PartitionPrefix + Id + "/";
   Out.DomainsKey_ = config::DomainsKey;
   // Partition ids are "<domain>-<number>".
   Out.Domain_ = Id.substr(0, Id.rfind('-'));
@@ -146,8 +147,7 @@
     partition::FencedAction & /*Action*/) const {
   base::logEvent(base::LogLevel::Warn, "partition-fenced",
                  {{"partition", Id_}, {"epoch", Epoch_}});
-  Host_.abandon(std::string(Id_));
-  Host_.Session_.refresh();
+  Host_.endFenced(std::string(Id_), Epoch_);
 }
 
 void PartitionHost::ActionPerformer::operator()(
--- a/src/partition/Ownership.cpp
+++ b/src/partition/Ownership.cpp
@@ -166,6 +166,10 @@
   Owners_.erase(Partition);
 }
 
+void Ownership::epochEnded(const std::string &Partition, base::TimePoint Now) {
+  moveTo(Tracked_[Partition], Event::Abandon, Now);
+}
+
 bool Ownership::ownerIsOther(const std::string &Partition, Tracked &State,
                              base::TimePoint Now) const {
   auto Owner = Owners_.find(Partition);
--- a/src/partition/Ownership.h
+++ b/src/partition/Ownership.h
@@ -67,6 +67,8 @@
   void acquireFinished(const std::string &Partition, bool Won,
                        base::TimePoint Now);
   void yieldFinished(const std::string &Partition);
+  //! The partition ended its epoch by itself, because a commit was refused.
+  void epochEnded(const std::string &Partition, base::TimePoint Now);
   void beginDrain();
 
   std::vector<OwnershipAction> step(base::TimePoint Now);
--- a/src/partition/Partition.h
+++ b/src/partition/Partition.h
@@ -36,6 +36,8 @@
   //! Create revision of the owner key; fences commits and worker commands.
   int64_t Epoch_ = 0;
   std::string OwnerKey_;
+  //! Prefix of the journal and snapshot keys. Empty: the owner key's folder.
+  std::string KeyPrefix_;
   std::string DomainsKey_;
   //! Failure domain of the partition's racks.
   std::string Domain_;
--- a/src/partition/internal/Journal.cpp
+++ b/src/partition/internal/Journal.cpp
@@ -42,7 +42,8 @@
 
 Journal::Journal(const PartitionSettings &Settings, State &Durable, Hooks Calls)
     : Settings_(Settings), State_(Durable), Hooks_(std::move(Calls)),
-      Prefix_(prefixOf(Settings.OwnerKey_)),
+      Prefix_(Settings.KeyPrefix_.empty() ? prefixOf(Settings.OwnerKey_)
+                                          : Settings.KeyPrefix_),
       Random_(Settings.Seed_ ^
               base::stableHash(Settings.Id_,
                                static_cast<uint64_t>(Settings.Epoch_))) {}
--- a/src/partition/internal/Workers.cpp
+++ b/src/partition/internal/Workers.cpp
@@ -74,6 +74,7 @@
   }
   Worker.Info_.Schedulable_ = Worker.Listed_ && !Worker.Leaving_ &&
                               Worker.Reached_ && Worker.Reachable_;
+  Worker.Info_.Leaving_ = Worker.Leaving_;
   Planner_.upsertWorker(Worker.Info_);
   Worker.InPlanner_ = true;
 }
