Fuzz services beside batch tasks

Cause: a lost worker's long lease matters only for tasks that outlive an outage. Change: 8% of the fuzzer's jobs run until cancelled; they are cancelled before the final check.

--- a/tests/partition/Fuzz.tests.cpp
+++ b/tests/partition/Fuzz.tests.cpp
@@ -41,6 +41,11 @@
         batchJob("j" + std::to_string(Jobs_++),
                  1 + static_cast<uint32_t>(World_.Random_.below(5)),
                  1000 + static_cast<int64_t>(World_.Random_.below(Longest)));
+    // A service runs until it is cancelled.
+    if (chance(8)) {
+      Job.RunTimeMs_ = 0;
+      Services_.push_back(Job.Id_);
+    }
     Job.Urgent_ = chance(20);
     Job.Gang_ = chance(15);
     Job.Workspace_ = chance(50) ? "guild" : "bureau";
@@ -106,6 +111,9 @@
     // Longer than the horizon that a successor waits for an unreached worker.
     for (int I = 0, Quiet = 0; I < 2000 && Quiet < 90; ++I) {
       World_.takeOver();
+      if (I % 20 == 0)
+        for (const std::string &Id : Services_)
+          World_.cancel(Id);
       World_.run(1000);
       Quiet = done() ? Quiet + 1 : 0;
     }
@@ -173,6 +181,7 @@
   }
 
   uint64_t Jobs_ = 0;
+  std::vector<std::string> Services_;
   std::map<std::string, uint64_t> Calls_;
 };
 
