Count a transferred job as cancelled where it runs

Cause: the partition that a job has left answers conflict to a cancellation. Change: one accepted cancellation is enough; store contact counts only under a confirmed lease.

--- a/src/app/OperatorJobs.cpp
+++ b/src/app/OperatorJobs.cpp
@@ -154,10 +154,12 @@
   std::vector<std::string> Ids = partsOf(Received.Name_);
   Sum->Missing_ = Ids.size();
   auto Finish = [Sum, Out = Received.Out_, Id = Received.Name_] {
-    if (Sum->Failure_.Status_ != 200)
-      sendJson(Out, std::move(Sum->Failure_));
-    else if (Sum->Cancelled_)
+    // A partition that the job has left answers conflict; the one that has it
+    // now cancels it.
+    if (Sum->Cancelled_)
       sendJson(Out, {200, json{{"job", Id}, {"cancelled", true}}.dump()});
+    else if (Sum->Failure_.Status_ != 200)
+      sendJson(Out, std::move(Sum->Failure_));
     else
       sendJson(Out, errorCallAnswer(base::ErrorKind::NotFound,
                                     "no job '" + Id + "'"));
--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -186,7 +186,7 @@
     if (Found == Hosted_.end())
       continue;
     Hosted &Each = *Found->second;
-    if (Session_.hasContact())
+    if (Session_.hasContact() && ownershipConfirmed())
       Each.Partition_.storeContact(Session_.lastContact());
     Each.Partition_.setPeerSummaries(otherSummaries());
     Each.Partition_.tick(Now, Shared_.Clock_.wallNow());
