Accept a progress above 100 percent and spread racks by their numbers

Cause: declared run times are far off, so a worker's progress can exceed 100; the codec refused the whole reply, the worker counted as unreachable and its tasks ran again after their lease. Hashing a few rack names left a partition without workers. Ruled out: lost exchanges and connection limits (each call failed with 'malformed worker reply', logged now as worker-call-failed). Change: the codec bounds progress from below only; racks go to partitions by the number at the end of their names.

--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace crocuslead::app {
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr auto OwnershipInterval = std::chrono::milliseconds(500);
+constexpr std::size_t MaxRackDigits = 9;
 constexpr auto RecoverRetry = std::chrono::milliseconds(300);
 
 template <typename T> const T *success(const store::StoreResult<T> &Result) {
@@ -48,9 +50,16 @@
 
 std::string partitionOfRack(const std::string &Domain, const std::string &Rack,
                             int PartitionsPerDomain) {
-  auto Index =
-      base::stableHash(Rack) % static_cast<uint64_t>(PartitionsPerDomain);
-  return Domain + "-" + std::to_string(Index);
+  // Racks are usually numbered. Their numbers spread them evenly, where a hash
+  // of a few names can leave a partition without workers.
+  std::size_t Digits = Rack.size();
+  while (Digits > 0 && Rack.size() - Digits < MaxRackDigits &&
+         std::isdigit(static_cast<unsigned char>(Rack[Digits - 1])) != 0)
+    --Digits;
+  uint64_t Number = Digits < Rack.size() ? std::stoull(Rack.substr(Digits))
+                                         : base::stableHash(Rack);
+  return Domain + "-" +
+         std::to_string(Number % static_cast<uint64_t>(PartitionsPerDomain));
 }
 
 PartitionHost::PartitionHost(const Context &Shared, StoreSession &Session,
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -112,7 +112,8 @@
   uint64_t NextCall_ = 1;
 };
 
-//! Partition whose workers include this rack.
+//! Partition whose workers include this rack: by the number at the end of its
+//! name, else by a hash.
 std::string partitionOfRack(const std::string &Domain, const std::string &Rack,
                             int PartitionsPerDomain);
 
--- a/src/app/internal/HostedPartition.cpp
+++ b/src/app/internal/HostedPartition.cpp
@@ -98,16 +98,22 @@
 
 void PartitionHost::ActionPerformer::operator()(
     partition::WorkerAction &Action) const {
-  Host_.Workers_.send(std::move(Action.Request_),
-                      [Host = &Host_, Id = Id_, Epoch = Epoch_,
-                       Token = Action.Token_](const auto &Reply) {
-                        Hosted *Target = Host->find(Id, Epoch);
-                        if (Target == nullptr)
-                          return;
-                        Target->Partition_.workerReply(
-                            Token, Reply, Host->Shared_.Clock_.now());
-                        Host->perform(*Target);
-                      });
+  std::string Worker = Action.Request_.Worker_;
+  Host_.Workers_.send(std::move(Action.Request_), [Host = &Host_, Id = Id_,
+                                                   Epoch = Epoch_,
+                                                   Token = Action.Token_,
+                                                   Worker](const auto &Reply) {
+    if (const auto *Failure = std::get_if<base::Error>(&Reply))
+      base::logEvent(base::LogLevel::Warn, "worker-call-failed",
+                     {{"worker", Worker},
+                      {"error", base::errorName(Failure->Kind_)},
+                      {"reason", Failure->Message_}});
+    Hosted *Target = Host->find(Id, Epoch);
+    if (Target == nullptr)
+      return;
+    Target->Partition_.workerReply(Token, Reply, Host->Shared_.Clock_.now());
+    Host->perform(*Target);
+  });
 }
 
 void PartitionHost::ActionPerformer::operator()(
--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -97,7 +97,7 @@
   static bool isValid(const AttemptReport &Of) {
     return !Of.Task_.empty() && Of.CpuMillis_ >= 0 && Of.MemoryMbMillis_ >= 0 &&
            Of.AcceleratorMillis_ >= 0 && Of.RunMillis_ >= 0 &&
-           isPercent(Of.ProgressPercent_) && Of.SpeedPercent_ >= 0;
+           Of.ProgressPercent_ >= 0 && Of.SpeedPercent_ >= 0;
   }
 };
 
