--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -69,7 +69,7 @@
       addDomain(Domain, Args, Port);
     Servers_.push_back(
         open(Loop, number(Args, "--port"),
-             [this](http::Request Request,
+             [this](const http::Request &Request,
                     const std::shared_ptr<http::Responder> &Out) {
                control(Request, Out);
              }));
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -61,7 +61,7 @@
 }
 
 void StoreStandin::handle(http::Request Request,
-                          std::shared_ptr<http::Responder> Out) {
+                          const std::shared_ptr<http::Responder> &Out) {
   if (Request.Target_ == "/control") {
     control(Request, Out);
     return;
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -32,7 +32,8 @@
 public:
   explicit StoreStandin(asio::io_context &Loop);
 
-  void handle(http::Request Request, std::shared_ptr<http::Responder> Out);
+  void handle(http::Request Request,
+              const std::shared_ptr<http::Responder> &Out);
 
 private:
   struct Entry {
