Accept reports of tasks that run longer than declared

Cause: a worker reports progress against the declared run time, and a task that ends between two of the worker's steps is past 100%. The decoder refused the whole reply, so the owner took the worker for unreachable, let its lease end and ran finished tasks again.

Change: progress has no upper bound on the wire; the estimate of the time left stops at 0. A request with starts carries the incarnation that its deadlines were read from: a restarted worker, whose clock and highest epoch were reset, refuses a delayed start.

Conclusion: a bound on a reported figure must not cost the whole reply.

--- a/src/partition/internal/Reports.cpp
+++ b/src/partition/internal/Reports.cpp
@@ -212,7 +212,7 @@
     // without it the delay grows with the time already run.
     int64_t Left = Report.RunMillis_ / 4;
     if (Report.ProgressPercent_ > 0)
-      Left = Report.RunMillis_ * (100 - Report.ProgressPercent_) /
+      Left = Report.RunMillis_ * std::max(0, 100 - Report.ProgressPercent_) /
              Report.ProgressPercent_;
     Task.ExpectedEnd_ =
         Now +
--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -76,7 +76,8 @@
   static constexpr Field<WorkerRequest> Fields[] = {
       field<&WorkerRequest::Epoch_>(1), field<&WorkerRequest::LeaseMs_>(2),
       field<&WorkerRequest::WantReport_>(3),
-      field<&WorkerRequest::Commands_>(4)};
+      field<&WorkerRequest::Commands_>(4),
+      field<&WorkerRequest::ExpectedIncarnation_>(5)};
   static bool isValid(const WorkerRequest &Of) {
     return Of.Epoch_ >= 0 && Of.LeaseMs_ >= 0;
   }
@@ -97,7 +98,7 @@
   static bool isValid(const AttemptReport &Of) {
     return !Of.Task_.empty() && Of.CpuMillis_ >= 0 && Of.MemoryMbMillis_ >= 0 &&
            Of.AcceleratorMillis_ >= 0 && Of.RunMillis_ >= 0 &&
-           isPercent(Of.ProgressPercent_) && Of.SpeedPercent_ >= 0;
+           Of.ProgressPercent_ >= 0 && Of.SpeedPercent_ >= 0;
   }
 };
 
--- a/src/platform/WorkerGateway.h
+++ b/src/platform/WorkerGateway.h
@@ -54,6 +54,10 @@
   int64_t LeaseMs_ = 0;
   //! Asks for the report of tasks and usage.
   bool WantReport_ = false;
+  //! When set, a worker of another incarnation refuses the starts: its clock
+  //! and its highest epoch may have been reset, so neither the deadline nor the
+  //! epoch stops a delayed start of an old owner. Sent with starts only.
+  std::string ExpectedIncarnation_;
   std::vector<WorkerCommand> Commands_;
 };
 
@@ -76,7 +80,8 @@
   int64_t MemoryMbMillis_ = 0;
   int64_t AcceleratorMillis_ = 0;
   int64_t RunMillis_ = 0;
-  //! Part of the declared work that is done, in percent.
+  //! Work done as a share of the declared work, in percent; over 100 once a
+  //! task has run longer than declared.
   int ProgressPercent_ = 0;
   //! Measured speed against running alone, in percent; 0 when not measured.
   int SpeedPercent_ = 0;
--- a/standins/WorkerStandin.h
+++ b/standins/WorkerStandin.h
@@ -77,6 +77,7 @@
   platform::CommandReply forget(const platform::WorkerCommand &Command);
   void end(Attempt &Target, platform::AttemptState State, bool Checkpoint);
   base::Resources held() const;
+  std::string incarnation() const;
   int64_t clockMs() const;
   platform::AttemptReport report(const Attempt &Source) const;
 
--- a/tests/partition/World.h
+++ b/tests/partition/World.h
@@ -67,6 +67,9 @@
   int64_t LeaseEnd_ = 0;
   bool FailStarts_ = false;
   bool CutOff_ = false;
+  //! Requests arrive, answers do not.
+  bool LoseReplies_ = false;
+  int64_t CheckpointMs_ = 1500;
   std::map<std::string, FakeAttempt> Attempts_;
 
   platform::WorkerReply handle(const platform::WorkerRequest &Request,
@@ -131,6 +134,8 @@
   uint32_t SnapshotAfterBatches_ = 256;
   //! Breaks the rule under test in the fake's view of leases.
   bool ForgeStops_ = false;
+  //! Last message with a start, as it was sent.
+  platform::WorkerRequest LastStart_;
 
 private:
   void perform(FakeOwner &Owner, const Action &Value);
