--- a/src/platform/WorkerCodec.cpp
+++ b/src/platform/WorkerCodec.cpp
@@ -76,7 +76,8 @@
   static constexpr Field<WorkerRequest> Fields[] = {
       field<&WorkerRequest::Epoch_>(1), field<&WorkerRequest::LeaseMs_>(2),
       field<&WorkerRequest::WantReport_>(3),
-      field<&WorkerRequest::Commands_>(4)};
+      field<&WorkerRequest::Commands_>(4),
+      field<&WorkerRequest::ExpectedIncarnation_>(5)};
   static bool isValid(const WorkerRequest &Of) {
     return Of.Epoch_ >= 0 && Of.LeaseMs_ >= 0;
   }
