Grant a request key to one call, not to its executor

Cause: a repeated claim of the same executor was turned into a grant. A second request with the key ran again when the report of the first end was lost, and when the executor had been restarted; call numbers began at 1 in every process, so a late answer to the former process counted for another key. A handed over table was lost when it exceeded the link's queue of 1 MiB, counted as whole when one of its messages was lost, and was ignored when it arrived after the acquisition. Fresh keys answered unknown during a handover, and ends reported then were lost.

Change: the owner remembers the call that it granted; call numbers start at random; the executor keeps the ends of its keys; tables are sent as the link takes them, with the position of their rows (new field FirstRow_); reports are repeated for 30 s when the owner changes.

--- a/src/app/ClaimService.cpp
+++ b/src/app/ClaimService.cpp
@@ -11,34 +11,21 @@
 constexpr auto CallTimeout = std::chrono::milliseconds(2000);
 constexpr auto RepeatAfter = std::chrono::milliseconds(300);
 constexpr auto ExpiryInterval = std::chrono::seconds(60);
-constexpr std::size_t RowsPerMessage = 1000;
-
-link::ClaimRow toRow(const route::ClaimEntry &Entry) {
-  link::ClaimRow Row;
-  Row.Key_ = Entry.Key_;
-  Row.Fingerprint_ = Entry.Fingerprint_;
-  Row.Executor_ = Entry.Executor_;
-  Row.IssuedMs_ = Entry.Issued_.time_since_epoch().count();
-  Row.End_ =
-      Entry.End_ ? static_cast<uint8_t>(static_cast<int>(*Entry.End_) + 1) : 0;
-  return Row;
-}
-
-route::ClaimEntry fromRow(const link::ClaimRow &Row) {
-  route::ClaimEntry Entry;
-  Entry.Key_ = Row.Key_;
-  Entry.Fingerprint_ = Row.Fingerprint_;
-  Entry.Executor_ = Row.Executor_;
-  Entry.Issued_ = base::WallTime(std::chrono::milliseconds(Row.IssuedMs_));
-  if (Row.End_ > 0)
-    Entry.End_ = static_cast<route::ClaimEnd>(std::min(Row.End_ - 1, 2));
-  return Entry;
-}
+// A call is repeated only until it times out, so a grant needs its call for
+// little longer.
+constexpr auto RememberCall = std::chrono::seconds(10);
+// An owner change takes the store lease (15 s) and an acquisition.
+constexpr auto RepeatReportsFor = std::chrono::seconds(30);
+constexpr auto ReportInterval = std::chrono::seconds(1);
+constexpr std::size_t MaxReports = 20'000;
 
 } // namespace
 
 ClaimService::ClaimService(const Context &Shared, ClaimHooks Hooks)
-    : Shared_(Shared), Hooks_(std::move(Hooks)) {}
+    : Shared_(Shared), Hooks_(std::move(Hooks)), Sender_(Hooks_.Send_),
+      // Numbers of successive processes differ: an answer or a grant to the
+      // former process must not count for a call of this one.
+      NextCall_(Shared.Random_.next() >> 1U) {}
 
 void ClaimService::setPartitions(
     std::vector<partition::PartitionInfo> Partitions) {
@@ -50,31 +37,42 @@
                              : partition::homePartition(Key, Partitions_);
 }
 
-route::ClaimReply ClaimService::claimLocally(const std::string &Partition,
+route::ClaimReply ClaimService::claimLocally(Owned &Target, uint64_t Call,
                                              const std::string &Key,
                                              uint64_t Fingerprint,
                                              const std::string &Executor) {
-  auto Found = Tables_.find(Partition);
-  if (Found == Tables_.end())
-    return {};
-  route::ClaimReply Reply = Found->second->claim(Key, Fingerprint, Executor,
-                                                 Hooks_.OwnershipConfirmed_(),
-                                                 Shared_.Clock_.wallNow());
-  // The executor repeats its call when an answer was lost; it has not sent the
-  // request yet, so the grant stands.
+  base::TimePoint Now = Shared_.Clock_.now();
+  route::ClaimReply Reply = Target.Table_.claim(Key, Fingerprint, Executor,
+                                                Hooks_.OwnershipConfirmed_(),
+                                                Shared_.Clock_.wallNow());
+  if (Reply.Verdict_ == route::ClaimVerdict::Granted) {
+    Target.GrantedCalls_[Key] = Call;
+    Target.GrantOrder_.emplace_back(Now, Key);
+    return Reply;
+  }
+  // The executor repeats its call when an answer was lost: the grant stands for
+  // this call. Another call of the same executor is another request, and the
+  // first may have run.
+  auto Granted = Target.GrantedCalls_.find(Key);
   if (Reply.Verdict_ == route::ClaimVerdict::InProgress &&
-      Reply.Executor_ == Executor)
+      Reply.Executor_ == Executor && Granted != Target.GrantedCalls_.end() &&
+      Granted->second == Call)
     Reply.Verdict_ = route::ClaimVerdict::Granted;
   return Reply;
 }
 
 void ClaimService::claim(const std::string &Key, uint64_t Fingerprint,
                          Callback Done) {
+  const std::string &Self = Shared_.Settings_.InstanceId_;
+  if (auto Known = Executed_.find(Key, Fingerprint, Self)) {
+    Done(*Known);
+    return;
+  }
   bool Active =
       std::any_of(Calls_.begin(), Calls_.end(),
                   [&Key](const auto &Each) { return Each.second.Key_ == Key; });
   if (Active) {
-    Done({route::ClaimVerdict::InProgress, Shared_.Settings_.InstanceId_});
+    Done({route::ClaimVerdict::InProgress, Self});
     return;
   }
   base::TimePoint Now = Shared_.Clock_.now();
@@ -84,16 +82,27 @@
   tryCall(Number, Added);
 }
 
+void ClaimService::endCall(uint64_t Number, const route::ClaimReply &Reply) {
+  auto Found = Calls_.find(Number);
+  if (Found == Calls_.end())
+    return;
+  Call Ended = std::move(Found->second);
+  Calls_.erase(Found);
+  if (Reply.Verdict_ == route::ClaimVerdict::Granted)
+    Executed_.granted(Ended.Key_, Ended.Fingerprint_);
+  Ended.Done_(Reply);
+}
+
 void ClaimService::tryCall(uint64_t Number, Call &Target) {
   Target.NextTry_ = Shared_.Clock_.now() + RepeatAfter;
   std::string Partition = home(Target.Key_);
   std::string Owner = Hooks_.OwnerOf_(Partition);
-  if (Owner == Shared_.Settings_.InstanceId_ && Tables_.count(Partition) != 0) {
-    route::ClaimReply Reply =
-        claimLocally(Partition, Target.Key_, Target.Fingerprint_, Owner);
-    Callback Done = std::move(Target.Done_);
-    Calls_.erase(Number);
-    Done(Reply);
+  if (Owner == Shared_.Settings_.InstanceId_) {
+    // Without a table the partition is being handed over.
+    auto Table = Tables_.find(Partition);
+    if (Table != Tables_.end())
+      endCall(Number, claimLocally(Table->second, Number, Target.Key_,
+                                   Target.Fingerprint_, Owner));
     return;
   }
   if (!Owner.empty())
@@ -112,50 +121,92 @@
       Due.push_back(Number);
   }
   for (uint64_t Number : Late) {
-    Call Ended = std::move(Calls_[Number]);
-    Calls_.erase(Number);
     // An unanswered claim may have been granted: spend the key, since this
     // caller is told that the outcome is unknown.
-    finish(Ended.Key_, route::ClaimEnd::Unknown);
-    Ended.Done_({route::ClaimVerdict::Unknown, ""});
+    finish(Calls_[Number].Key_, route::ClaimEnd::Unknown);
+    endCall(Number, {route::ClaimVerdict::Unknown, ""});
   }
   for (uint64_t Number : Due) {
     auto Found = Calls_.find(Number);
     if (Found != Calls_.end())
       tryCall(Number, Found->second);
   }
+  Sender_.tick(Now);
+  if (Now >= NextReports_) {
+    NextReports_ = Now + ReportInterval;
+    repeatReports();
+    forgetOldCalls();
+    Receiver_.expire(Now);
+  }
   if (Now < NextExpiry_)
     return;
   NextExpiry_ = Now + ExpiryInterval;
-  for (auto &[Partition, Table] : Tables_)
-    Table->expire(Shared_.Clock_.wallNow());
+  for (auto &[Partition, Each] : Tables_)
+    Each.Table_.expire(Shared_.Clock_.wallNow());
+}
+
+void ClaimService::forgetOldCalls() {
+  base::TimePoint Oldest = Shared_.Clock_.now() - RememberCall;
+  for (auto &[Partition, Each] : Tables_)
+    while (!Each.GrantOrder_.empty() &&
+           Each.GrantOrder_.front().first < Oldest) {
+      Each.GrantedCalls_.erase(Each.GrantOrder_.front().second);
+      Each.GrantOrder_.pop_front();
+    }
 }
 
 void ClaimService::finish(const std::string &Key, route::ClaimEnd End) {
+  Executed_.ended(Key, End);
+  Reports_.push_back({Key, End, sendReport(Key, End),
+                      Shared_.Clock_.now() + RepeatReportsFor});
+  if (Reports_.size() > MaxReports)
+    Reports_.pop_front();
+}
+
+std::string ClaimService::sendReport(const std::string &Key,
+                                     route::ClaimEnd End) {
   std::string Partition = home(Key);
   std::string Owner = Hooks_.OwnerOf_(Partition);
   auto Table = Tables_.find(Partition);
-  if (Table != Tables_.end())
-    Table->second->finish(Key, Shared_.Settings_.InstanceId_, End);
-  else if (!Owner.empty())
-    Hooks_.Send_(Owner,
-                 link::ClaimDone{Partition, Key, static_cast<uint8_t>(End)});
+  if (Table != Tables_.end()) {
+    Table->second.Table_.finish(Key, Shared_.Settings_.InstanceId_, End);
+    return Shared_.Settings_.InstanceId_;
+  }
+  bool Sent = !Owner.empty() && Owner != Shared_.Settings_.InstanceId_ &&
+              Hooks_.Send_(Owner, link::ClaimDone{Partition, Key,
+                                                  static_cast<uint8_t>(End)});
+  return Sent ? Owner : std::string();
+}
+
+// A table that was handed over may lack the ends that were reported to the
+// former owner meanwhile.
+void ClaimService::repeatReports() {
+  base::TimePoint Now = Shared_.Clock_.now();
+  while (!Reports_.empty() && Now >= Reports_.front().Until_)
+    Reports_.pop_front();
+  for (Report &Each : Reports_)
+    if (Each.SentTo_.empty() ||
+        Hooks_.OwnerOf_(home(Each.Key_)) != Each.SentTo_)
+      Each.SentTo_ = sendReport(Each.Key_, Each.End_);
+}
+
+void ClaimService::takeHandedTable(const std::string &Partition,
+                                   Owned &Target) {
+  auto Handed = Receiver_.take(Partition, Target.PriorEpoch_);
+  if (!Handed)
+    return;
+  base::logEvent(base::LogLevel::Info, "claims-taken-over",
+                 {{"partition", Partition},
+                  {"claims", static_cast<int64_t>(Handed->Entries_.size())}});
+  Target.Table_.takeOver(std::move(Handed->Entries_), Handed->KnownSince_);
 }
 
 void ClaimService::partitionAcquired(const std::string &Partition,
                                      int64_t PriorEpoch) {
-  auto Table = std::make_unique<route::ClaimTable>(Shared_.Clock_.wallNow());
-  auto Found = Incoming_.find(Partition);
-  if (Found != Incoming_.end() && Found->second.Complete_ &&
-      Found->second.FormerEpoch_ == PriorEpoch) {
-    base::logEvent(
-        base::LogLevel::Info, "claims-taken-over",
-        {{"partition", Partition},
-         {"claims", static_cast<int64_t>(Found->second.Rows_.size())}});
-    Table->takeOver(std::move(Found->second.Rows_), Found->second.KnownSince_);
-  }
-  Incoming_.erase(Partition);
-  Tables_[Partition] = std::move(Table);
+  Tables_.erase(Partition);
+  auto Added =
+      Tables_.try_emplace(Partition, Shared_.Clock_.wallNow(), PriorEpoch);
+  takeHandedTable(Partition, Added.first->second);
 }
 
 void ClaimService::partitionLost(const std::string &Partition) {
@@ -167,27 +218,22 @@
   auto Found = Tables_.find(Partition);
   if (Found == Tables_.end())
     return;
-  int64_t KnownSince = Found->second->knownSince().time_since_epoch().count();
-  std::vector<route::ClaimEntry> Rows = Found->second->handOver();
-  if (NextOwner.empty())
-    return;
-  std::size_t Sent = 0;
-  do {
-    link::ClaimTransfer Message{Partition, Epoch, KnownSince, {}, false};
-    for (; Sent < Rows.size() && Message.Rows_.size() < RowsPerMessage; ++Sent)
-      Message.Rows_.push_back(toRow(Rows[Sent]));
-    Message.Last_ = Sent == Rows.size();
-    if (!Hooks_.Send_(NextOwner, Message))
-      return;
-  } while (Sent < Rows.size());
+  HandedTable Table;
+  Table.KnownSince_ = Found->second.Table_.knownSince();
+  Table.Entries_ = Found->second.Table_.handOver();
+  Tables_.erase(Found);
+  if (!NextOwner.empty() && NextOwner != Shared_.Settings_.InstanceId_)
+    Sender_.start(Partition, Epoch, NextOwner, std::move(Table),
+                  Shared_.Clock_.now());
 }
 
 void ClaimService::received(const std::string &Peer,
                             const link::ClaimRequest &Message) {
-  if (Tables_.count(Message.Partition_) == 0)
+  auto Found = Tables_.find(Message.Partition_);
+  if (Found == Tables_.end())
     return;
-  route::ClaimReply Reply = claimLocally(Message.Partition_, Message.Key_,
-                                         Message.Fingerprint_, Peer);
+  route::ClaimReply Reply = claimLocally(
+      Found->second, Message.Call_, Message.Key_, Message.Fingerprint_, Peer);
   Hooks_.Send_(Peer, link::ClaimAnswer{Message.Call_,
                                        static_cast<uint8_t>(Reply.Verdict_),
                                        Reply.Executor_});
@@ -197,12 +243,9 @@
                             const link::ClaimAnswer &Message) {
   constexpr auto LastVerdict =
       static_cast<uint8_t>(route::ClaimVerdict::BadIssueTime);
-  auto Found = Calls_.find(Message.Call_);
-  if (Found == Calls_.end() || Message.Verdict_ > LastVerdict)
-    return;
-  Callback Done = std::move(Found->second.Done_);
-  Calls_.erase(Found);
-  Done({static_cast<route::ClaimVerdict>(Message.Verdict_), Message.Executor_});
+  if (Message.Verdict_ <= LastVerdict)
+    endCall(Message.Call_, {static_cast<route::ClaimVerdict>(Message.Verdict_),
+                            Message.Executor_});
 }
 
 void ClaimService::received(const std::string &Peer,
@@ -210,27 +253,24 @@
   auto Found = Tables_.find(Message.Partition_);
   constexpr auto LastEnd = static_cast<uint8_t>(route::ClaimEnd::Unknown);
   if (Found != Tables_.end() && Message.End_ <= LastEnd)
-    Found->second->finish(Message.Key_, Peer,
-                          static_cast<route::ClaimEnd>(Message.End_));
+    Found->second.Table_.finish(Message.Key_, Peer,
+                                static_cast<route::ClaimEnd>(Message.End_));
 }
 
 void ClaimService::received(const std::string & /*Peer*/,
                             const link::ClaimTransfer &Message) {
-  Incoming &Target = Incoming_[Message.Partition_];
-  if (Target.FormerEpoch_ != Message.FormerEpoch_)
-    Target = {Message.FormerEpoch_,
-              base::WallTime(std::chrono::milliseconds(Message.KnownSinceMs_)),
-              {},
-              false};
-  for (const link::ClaimRow &Row : Message.Rows_)
-    Target.Rows_.push_back(fromRow(Row));
-  Target.Complete_ = Message.Last_;
+  Receiver_.received(Message, Shared_.Clock_.now());
+  // The store may be faster than the link: the table can arrive after the
+  // acquisition.
+  auto Found = Tables_.find(Message.Partition_);
+  if (Found != Tables_.end())
+    takeHandedTable(Message.Partition_, Found->second);
 }
 
 std::size_t ClaimService::tableSize() const {
   std::size_t Sum = 0;
-  for (const auto &[Partition, Table] : Tables_)
-    Sum += Table->size();
+  for (const auto &[Partition, Each] : Tables_)
+    Sum += Each.Table_.size();
   return Sum;
 }
 
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -106,6 +106,9 @@
   std::vector<ClaimRow> Rows_;
   //! True in the last message of the table.
   bool Last_ = false;
+  //! Position of the first of Rows_ in the table. It shows a lost message,
+  //! whose keys would otherwise count as never granted.
+  uint32_t FirstRow_ = 0;
 };
 
 struct AnswerFetch {
--- a/src/link/internal/Layout.h
+++ b/src/link/internal/Layout.h
@@ -135,7 +135,7 @@
       field(1, &ClaimTransfer::Partition_),
       field(2, &ClaimTransfer::FormerEpoch_),
       field(3, &ClaimTransfer::KnownSinceMs_), field(4, &ClaimTransfer::Rows_),
-      field(5, &ClaimTransfer::Last_));
+      field(5, &ClaimTransfer::Last_), field(6, &ClaimTransfer::FirstRow_));
 };
 template <> struct Layout<AnswerFetch> {
   static constexpr int Number = 19;
