Release orphaned owner keys and find lost watch events

Cause: an owner key stayed this process's for ever when the read back of a lost acquisition, a recovery's deletion or a yield's deletion failed. A recovery that ended after the lease was replaced hosted a partition without its owner key. A read back could adopt an earlier epoch of the same process. The deletion of a yield could end a newer epoch. A lost configuration event was never found when a later one arrived, because the poll compared the highest revision only; one failed poll cost 3.5 s more; a dead watch stayed in use and hid owner changes for ever; an old full read undid newer owner events; a refresh during a read was dropped.

Change: each second the owner keys of this process that it does not run are deleted under their epoch. An acquisition carries its lease and term. Recoveries are retried by the tick, so that tests control them.

--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -4,20 +4,11 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
-
 namespace crocuslead::app {
 
 namespace {
 
 constexpr auto OwnershipInterval = std::chrono::milliseconds(500);
-constexpr auto RecoverRetry = std::chrono::milliseconds(300);
-
-template <typename T> const T *success(const store::StoreResult<T> &Result) {
-  return std::get_if<T>(&Result);
-}
 
 partition::PartitionSummary toSummary(const link::PartitionLoad &Load) {
   partition::PartitionSummary Out;
@@ -180,6 +171,8 @@
         abandon(Action.Partition_);
     }
   }
+  retryRecoveries(Now);
+  releaseOrphans(Now);
   std::vector<std::string> Ids = ownedIds();
   for (const std::string &Id : Ids) {
     auto Found = Hosted_.find(Id);
@@ -198,155 +191,6 @@
   }
 }
 
-void PartitionHost::acquire(const std::string &Id) {
-  if (Session_.lease() == 0 || !Acquiring_.insert(Id).second) {
-    Ownership_->acquireFinished(Id, /*Won=*/false, Shared_.Clock_.now());
-    return;
-  }
-  base::TimePoint SentAt = Shared_.Clock_.now();
-  Session_.store().range(
-      TermPrefix + Id, "", [this, Id, SentAt](const auto &Result) {
-        const auto *Reply = success(Result);
-        if (Reply == nullptr) {
-          acquireFailed(Id);
-          return;
-        }
-        Session_.noteContact(SentAt);
-        writeOwner(Id, Reply->Values_.empty()
-                           ? 0
-                           : Reply->Values_.front().ModRevision_);
-      });
-}
-
-void PartitionHost::writeOwner(const std::string &Id, int64_t PriorEpoch) {
-  std::string OwnerKey = OwnerPrefix + Id;
-  std::string TermKey = TermPrefix + Id;
-  std::string Owner =
-      nlohmann::json{{"instance", Shared_.Settings_.InstanceId_},
-                     {"incarnation", Shared_.Incarnation_}}
-          .dump();
-  store::Txn Txn;
-  Txn.Compares_ = {{OwnerKey, store::CompareTarget::Version, 0},
-                   {TermKey, store::CompareTarget::ModRevision, PriorEpoch}};
-  Txn.Puts_ = {{OwnerKey, Owner, Session_.lease()}, {TermKey, Owner, 0}};
-  Session_.store().txn(std::move(Txn),
-                       [this, Id, PriorEpoch](const auto &Result) {
-                         if (const auto *Reply = success(Result)) {
-                           if (Reply->Succeeded_)
-                             recover(Id, Reply->Revision_, PriorEpoch);
-                           else
-                             acquireFailed(Id);
-                           return;
-                         }
-                         confirmOwner(Id, PriorEpoch);
-                       });
-}
-
-void PartitionHost::confirmOwner(const std::string &Id, int64_t PriorEpoch) {
-  Session_.store().range(
-      OwnerPrefix + Id, "", [this, Id, PriorEpoch](const auto &Result) {
-        const auto *Reply = success(Result);
-        bool Mine = Reply != nullptr && !Reply->Values_.empty() &&
-                    Reply->Values_.front().Value_.find(Shared_.Incarnation_) !=
-                        std::string::npos;
-        if (Mine)
-          recover(Id, Reply->Values_.front().CreateRevision_, PriorEpoch);
-        else
-          acquireFailed(Id);
-      });
-}
-
-void PartitionHost::recover(const std::string &Id, int64_t Epoch,
-                            int64_t PriorEpoch) {
-  std::string Prefix = PartitionPrefix + Id + "/";
-  Session_.store().range(
-      Prefix, store::prefixEnd(Prefix),
-      [this, Id, Epoch, PriorEpoch](const auto &Result) {
-        const auto *Reply = success(Result);
-        if (Reply == nullptr) {
-          // The owner key is ours already: read again until it succeeds or
-          // the lease ends.
-          auto Timer =
-              std::make_shared<asio::steady_timer>(Shared_.Loop_, RecoverRetry);
-          Timer->async_wait([this, Id, Epoch, PriorEpoch, Timer](auto) {
-            if (Session_.lease() != 0)
-              recover(Id, Epoch, PriorEpoch);
-            else
-              acquireFailed(Id);
-          });
-          return;
-        }
-        partition::PartitionSettings Settings =
-            makePartitionSettings(Shared_.Settings_, Id, Epoch);
-        auto Added = std::make_unique<Hosted>(Id, Epoch, Settings);
-        base::TimePoint Now = Shared_.Clock_.now();
-        auto Outcome = Added->Partition_.recover(Reply->Values_, Now,
-                                                 Shared_.Clock_.wallNow());
-        if (!Outcome) {
-          base::logEvent(base::LogLevel::Error, "partition-recovery-failed",
-                         {{"partition", Id}});
-          deleteOwner(Id, Epoch, [this, Id] { acquireFailed(Id); });
-          return;
-        }
-        base::logEvent(base::LogLevel::Info, "partition-acquired",
-                       {{"partition", Id}, {"epoch", Epoch}});
-        Acquiring_.erase(Id);
-        Claims_.partitionAcquired(Id, PriorEpoch);
-        Hosted &Target = *(Hosted_[Id] = std::move(Added));
-        Ownership_->acquireFinished(Id, /*Won=*/true, Now);
-        feed(Target);
-      });
-}
-
-void PartitionHost::acquireFailed(const std::string &Id) {
-  Acquiring_.erase(Id);
-  Ownership_->acquireFinished(Id, /*Won=*/false, Shared_.Clock_.now());
-  Session_.refresh();
-}
-
-void PartitionHost::yield(const std::string &Id) {
-  auto Found = Hosted_.find(Id);
-  if (Found == Hosted_.end()) {
-    Ownership_->yieldFinished(Id);
-    return;
-  }
-  Found->second->Yielding_ = true;
-  Found->second->Partition_.beginHandover();
-}
-
-void PartitionHost::continueYield(Hosted &Target) {
-  if (Target.YieldSent_ || !Target.Partition_.isQuiescent())
-    return;
-  Target.YieldSent_ = true;
-  std::string Id = Target.Id_;
-  Claims_.handOver(Id, Target.Epoch_,
-                   Ownership_->preferredOwner(Id).value_or(""));
-  // Whatever the answer, this epoch is over: the owner key is gone or ends
-  // with the lease.
-  deleteOwner(Id, Target.Epoch_, [this, Id] {
-    base::logEvent(base::LogLevel::Info, "partition-yielded",
-                   {{"partition", Id}});
-    abandon(Id);
-    Ownership_->yieldFinished(Id);
-  });
-}
-
-void PartitionHost::deleteOwner(const std::string &Id, int64_t Epoch,
-                                std::function<void()> Done) {
-  store::Txn Txn;
-  std::string OwnerKey = OwnerPrefix + Id;
-  Txn.Compares_ = {{OwnerKey, store::CompareTarget::CreateRevision, Epoch}};
-  Txn.Deletes_ = {{OwnerKey, ""}};
-  Session_.store().txn(std::move(Txn),
-                       [Done = std::move(Done)](const auto &) { Done(); });
-}
-
-void PartitionHost::endFenced(const std::string &Id, int64_t Epoch) {
-  abandon(Id);
-  Ownership_->epochEnded(Id, Shared_.Clock_.now());
-  deleteOwner(Id, Epoch, [this] { Session_.refresh(); });
-}
-
 void PartitionHost::abandon(const std::string &Id) {
   auto Found = Hosted_.find(Id);
   if (Found == Hosted_.end())
@@ -417,7 +261,8 @@
     partition::PartitionSummary Summary = Each->Partition_.summary();
     link::PartitionLoad Load = toLoad(Summary);
     for (const auto &[Workspace, Held] : Summary.Held_) {
-      base::Resources &Sent = LastSentUse_[Id + "/" + Workspace];
+      base::Resources &Sent =
+          LastSentUse_[std::string(Id).append("/").append(Workspace)];
       if (Sent == Held)
         continue;
       Sent = Held;
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -75,9 +75,21 @@
 
   void rebuildPartitions();
   void acquire(const std::string &Id);
-  void writeOwner(const std::string &Id, int64_t PriorEpoch);
-  void confirmOwner(const std::string &Id, int64_t PriorEpoch);
-  void recover(const std::string &Id, int64_t Epoch, int64_t PriorEpoch);
+  //! One acquisition; the owner key lives as long as the lease.
+  struct Acquisition {
+    std::string Id_;
+    int64_t Lease_ = 0;
+    int64_t PriorEpoch_ = 0;
+    int64_t Epoch_ = 0;
+  };
+  void writeOwner(const Acquisition &Wanted);
+  void confirmOwner(Acquisition Wanted);
+  void recover(const Acquisition &Won);
+  void retryRecoveries(base::TimePoint Now);
+  void host(const Acquisition &Won, const store::RangeReply &Stored);
+  //! Deletes owner keys of this process whose partitions it does not run: after
+  //! a failed recovery, a fenced commit, a lost answer or a failed deletion.
+  void releaseOrphans(base::TimePoint Now);
   void acquireFailed(const std::string &Id);
   void yield(const std::string &Id);
   void continueYield(Hosted &Target);
@@ -104,10 +116,12 @@
   std::vector<partition::LiveInstance> Live_;
   std::map<std::string, std::unique_ptr<Hosted>> Hosted_;
   std::set<std::string> Acquiring_;
+  std::vector<std::pair<base::TimePoint, Acquisition>> Recoveries_;
   platform::InstanceSnapshot Instances_;
   std::map<std::string, partition::PartitionSummary> PeerLoad_;
   std::map<std::string, base::Resources> LastSentUse_;
   base::TimePoint NextOwnershipStep_;
+  base::TimePoint NextRelease_;
   bool Draining_ = false;
   uint64_t NextCall_ = 1;
 };
--- a/src/app/StoreSession.cpp
+++ b/src/app/StoreSession.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Log.h"
 
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace crocuslead::app {
@@ -12,15 +14,19 @@
 // an outage.
 constexpr auto OutageThreshold = std::chrono::seconds(6);
 constexpr auto RetryDelay = std::chrono::milliseconds(500);
-// A lost watch event is found within one poll; with the read that follows it
-// stays below the 5 s in which a change must be in force.
-constexpr auto PollInterval = std::chrono::milliseconds(3500);
+// A lost watch event is found within one poll; with one failed poll (2 s) and
+// the read that follows it stays below the 5 s in which a change must be in
+// force.
+constexpr auto PollInterval = std::chrono::milliseconds(2000);
+// Owner keys end with leases, without a change of the version key. A dead watch
+// must not hide them for longer than about a lease.
+constexpr int PollsPerOwnerPoll = 5;
 constexpr auto FreshFor = std::chrono::seconds(5);
 constexpr int LeaseRenewalsPerTerm = 3;
 
-// Configuration and owners are neighbours in key order, so one watch covers
-// both; journals lie outside.
-constexpr const char *WatchedBegin = config::ConfigPrefix;
+// Version key, configuration and owners are neighbours in key order, so one
+// watch covers both; journals lie outside.
+constexpr const char *WatchedBegin = VersionKey;
 constexpr const char *WatchedEnd = PartitionPrefix;
 
 bool hasPrefix(const std::string &Text, const char *Prefix) {
@@ -112,12 +118,15 @@
 }
 
 void StoreSession::refresh() {
-  if (!Reading_)
+  if (Reading_)
+    ReadAgain_ = true;
+  else
     readAll();
 }
 
 void StoreSession::readAll() {
   Reading_ = true;
+  ReadAgain_ = false;
   base::TimePoint SentAt = Shared_.Clock_.now();
   Store_.range(WatchedBegin, WatchedEnd, [this, SentAt](const auto &Result) {
     Reading_ = false;
@@ -127,42 +136,56 @@
       return;
     }
     noteContact(SentAt);
-    ConfigConfirmed_ = SentAt;
+    ConfigConfirmed_ = std::max(ConfigConfirmed_, SentAt);
     ConfigLoaded_ = true;
     applyRange(*Reply);
     if (!WatchOpen_)
       openWatch(Reply->Revision_ + 1);
+    if (ReadAgain_ && !Reading_)
+      readAll();
   });
 }
 
 void StoreSession::openWatch(int64_t Revision) {
   WatchOpen_ = true;
   NextPoll_ = Shared_.Clock_.now() + PollInterval;
-  Watch_ = Store_.watch(
-      WatchedBegin, WatchedEnd, Revision, [this](const auto &Result) {
-        const auto *Batch = success(Result);
-        if (Batch == nullptr) {
-          WatchOpen_ = false;
-          NextRead_ = Shared_.Clock_.now() + RetryDelay;
-          return;
-        }
-        store::WatchBatch ConfigPart;
-        ConfigPart.Revision_ = Batch->Revision_;
-        bool OwnersMoved = false;
-        for (const store::WatchEvent &Event : Batch->Events_) {
-          if (hasPrefix(Event.Value_.Key_, config::ConfigPrefix))
-            ConfigPart.Events_.push_back(Event);
-          if (!hasPrefix(Event.Value_.Key_, OwnerPrefix))
-            continue;
-          applyOwner(Event.Value_, Event.Deleted_);
-          OwnersMoved = true;
-        }
-        if (!ConfigPart.Events_.empty() && Config_.applyWatch(ConfigPart) &&
-            Hooks_.ConfigChanged_)
-          Hooks_.ConfigChanged_();
-        if (OwnersMoved && Hooks_.OwnersChanged_)
-          Hooks_.OwnersChanged_();
-      });
+  Watch_ = Store_.watch(WatchedBegin, WatchedEnd, Revision,
+                        [this](const auto &Result) {
+                          if (const auto *Batch = success(Result)) {
+                            watchArrived(*Batch);
+                            return;
+                          }
+                          WatchOpen_ = false;
+                          NextRead_ = Shared_.Clock_.now() + RetryDelay;
+                        });
+}
+
+void StoreSession::reopenWatch(const char *Reason) {
+  base::logEvent(base::LogLevel::Warn, "watch-lost-events",
+                 {{"reason", Reason}});
+  Watch_.reset();
+  WatchOpen_ = false;
+  refresh();
+}
+
+void StoreSession::watchArrived(const store::WatchBatch &Batch) {
+  store::WatchBatch ConfigPart;
+  ConfigPart.Revision_ = Batch.Revision_;
+  bool OwnersMoved = false;
+  for (const store::WatchEvent &Event : Batch.Events_) {
+    const std::string &Key = Event.Value_.Key_;
+    if (hasPrefix(Key, config::ConfigPrefix)) {
+      ConfigPart.Events_.push_back(Event);
+      ChangesSeen_.insert(Event.Value_.ModRevision_);
+    }
+    if (hasPrefix(Key, OwnerPrefix))
+      OwnersMoved |= applyOwner(Event.Value_, Event.Deleted_);
+  }
+  if (!ConfigPart.Events_.empty() && Config_.applyWatch(ConfigPart) &&
+      Hooks_.ConfigChanged_)
+    Hooks_.ConfigChanged_();
+  if (OwnersMoved && Hooks_.OwnersChanged_)
+    Hooks_.OwnersChanged_();
 }
 
 void StoreSession::pollVersion() {
@@ -170,49 +193,102 @@
   base::TimePoint SentAt = Shared_.Clock_.now();
   Store_.range(VersionKey, "", [this, SentAt](const auto &Result) {
     Polling_ = false;
-    NextPoll_ = SentAt + PollInterval;
     const auto *Reply = success(Result);
-    if (Reply == nullptr)
+    if (Reply == nullptr) {
+      NextPoll_ = Shared_.Clock_.now() + RetryDelay;
       return;
+    }
+    NextPoll_ = SentAt + PollInterval;
     noteContact(SentAt);
-    bool Newer = !Reply->Values_.empty() &&
-                 Reply->Values_.front().ModRevision_ > Config_.revision();
-    if (Newer)
-      refresh();
-    else
-      ConfigConfirmed_ = SentAt;
+    store::KeyValue Known =
+        Reply->Values_.empty() ? store::KeyValue{} : Reply->Values_.front();
+    // A read that ended meanwhile is newer than this answer.
+    if (Known.ModRevision_ < ReadVersionRevision_)
+      return;
+    auto End = ChangesSeen_.upper_bound(Known.ModRevision_);
+    auto Seen = static_cast<int64_t>(std::distance(ChangesSeen_.begin(), End));
+    if (Known.Version_ > ReadVersion_ + Seen) {
+      reopenWatch("a configuration change was missed");
+      return;
+    }
+    ConfigConfirmed_ = std::max(ConfigConfirmed_, SentAt);
+    if (++PollsToOwners_ % PollsPerOwnerPoll == 0)
+      pollOwners();
+  });
+}
+
+void StoreSession::pollOwners() {
+  Store_.range(OwnerPrefix, WatchedEnd, [this](const auto &Result) {
+    const auto *Reply = success(Result);
+    if (Reply == nullptr || !applyOwners(Reply->Values_, Reply->Revision_))
+      return;
+    if (Hooks_.OwnersChanged_)
+      Hooks_.OwnersChanged_();
+    if (WatchOpen_)
+      reopenWatch("an owner change was missed");
   });
 }
 
 void StoreSession::applyRange(const store::RangeReply &Reply) {
   store::RangeReply ConfigPart;
   ConfigPart.Revision_ = Reply.Revision_;
-  std::map<std::string, partition::OwnerRecord> Before = Owners_;
-  Owners_.clear();
+  std::vector<store::KeyValue> OwnerPart;
+  store::KeyValue Version;
   for (const store::KeyValue &Value : Reply.Values_) {
     if (hasPrefix(Value.Key_, config::ConfigPrefix))
       ConfigPart.Values_.push_back(Value);
     else if (hasPrefix(Value.Key_, OwnerPrefix))
-      applyOwner(Value, /*Deleted=*/false);
+      OwnerPart.push_back(Value);
+    else if (Value.Key_ == VersionKey)
+      Version = Value;
+  }
+  if (Version.ModRevision_ >= ReadVersionRevision_) {
+    ReadVersion_ = Version.Version_;
+    ReadVersionRevision_ = Version.ModRevision_;
+    ChangesSeen_.erase(ChangesSeen_.begin(),
+                       ChangesSeen_.upper_bound(Reply.Revision_));
   }
   if (Config_.applyRange(ConfigPart) && Hooks_.ConfigChanged_)
     Hooks_.ConfigChanged_();
+  applyOwners(OwnerPart, Reply.Revision_);
   if (Hooks_.OwnersChanged_)
     Hooks_.OwnersChanged_();
 }
 
-void StoreSession::applyOwner(const store::KeyValue &Value, bool Deleted) {
+bool StoreSession::applyOwners(const std::vector<store::KeyValue> &Values,
+                               int64_t Revision) {
+  // A later read has already shown everything that this one could.
+  if (Revision < OwnersReadRevision_)
+    return false;
+  OwnersReadRevision_ = Revision;
+  bool Changed = false;
+  std::set<std::string> Present;
+  for (const store::KeyValue &Value : Values) {
+    Present.insert(Value.Key_);
+    Changed |= applyOwner(Value, /*Deleted=*/false);
+  }
+  for (const auto &[Key, Known] : OwnerRevisions_)
+    if (Present.count(Key) == 0 && Known <= Revision)
+      Changed |=
+          Owners_.erase(Key.substr(std::string_view(OwnerPrefix).size())) != 0;
+  return Changed;
+}
+
+bool StoreSession::applyOwner(const store::KeyValue &Value, bool Deleted) {
+  int64_t &Known = OwnerRevisions_[Value.Key_];
+  if (Value.ModRevision_ <= Known)
+    return false;
+  Known = Value.ModRevision_;
   std::string Partition =
       Value.Key_.substr(std::string_view(OwnerPrefix).size());
-  if (Deleted) {
-    Owners_.erase(Partition);
-    return;
-  }
+  if (Deleted)
+    return Owners_.erase(Partition) != 0;
   nlohmann::json Body = nlohmann::json::parse(Value.Value_, nullptr, false);
   if (!Body.is_object())
-    return;
+    return false;
   Owners_[Partition] = {Body.value("instance", ""),
                         Body.value("incarnation", ""), Value.CreateRevision_};
+  return true;
 }
 
 void StoreSession::applyPeerConfig(
--- a/src/app/StoreSession.h
+++ b/src/app/StoreSession.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace crocuslead::app {
 
@@ -71,17 +73,37 @@
   void readAll();
   void openWatch(int64_t Revision);
   void pollVersion();
+  void pollOwners();
+  void watchArrived(const store::WatchBatch &Batch);
+  //! Drops a watch that has lost events and reads everything again.
+  void reopenWatch(const char *Reason);
   void applyRange(const store::RangeReply &Reply);
-  void applyOwner(const store::KeyValue &Value, bool Deleted);
+  //! Returns whether the owners changed.
+  bool applyOwners(const std::vector<store::KeyValue> &Values,
+                   int64_t Revision);
+  bool applyOwner(const store::KeyValue &Value, bool Deleted);
 
   const Context &Shared_;
   store::KeyValueStore &Store_;
   StoreHooks Hooks_;
   config::ConfigState Config_;
   std::map<std::string, partition::OwnerRecord> Owners_;
+  //! Revision of the newest event or read of each owner key.
+  std::map<std::string, int64_t> OwnerRevisions_;
+  int64_t OwnersReadRevision_ = 0;
+  //! Version of the version key at the newest full read, and the revisions of
+  //! the changes that the watch has shown since: their sum is the version that
+  //! the key must have, unless events were lost.
+  int64_t ReadVersion_ = 0;
+  int64_t ReadVersionRevision_ = 0;
+  std::set<int64_t> ChangesSeen_;
+  int PollsToOwners_ = 0;
   std::unique_ptr<store::WatchHandle> Watch_;
   bool WatchOpen_ = false;
   bool Reading_ = false;
+  //! A refresh was asked for while a read was on its way, which may be older
+  //! than the reason for it.
+  bool ReadAgain_ = false;
   bool Polling_ = false;
   bool LeaseCall_ = false;
   bool ConfigLoaded_ = false;
--- a/src/app/internal/HostedPartition.h
+++ b/src/app/internal/HostedPartition.h
@@ -15,6 +15,7 @@
   partition::Partition Partition_;
   std::map<uint64_t, AnswerCallback> Calls_;
   bool Yielding_ = false;
+  bool ClaimsSent_ = false;
   bool YieldSent_ = false;
 };
 
