Validate a configuration change against what its write compares with

Cause: two operators who wrote different workspaces at the same time both passed the check of the sum of agreed shares. A write that lost its answer and was not found yet was answered as without effect, though it could still arrive.

Change: the writer reads the configuration, validates against that read, and compares the version key's mod revision in the write; it repeats by itself (at most 8 times) when only another key changed. An uncertain write that is not found is answered with outcome-unknown.

--- a/src/app/ConfigWriter.h
+++ b/src/app/ConfigWriter.h
@@ -9,8 +9,10 @@
 
 namespace crocuslead::app {
 
-//! Changes configuration keys by compare-and-swap. A change is validated before
-//! it is written, and an uncertain write is read back before it is answered.
+//! Changes configuration keys by compare-and-swap. A change is validated
+//! against the configuration that its transaction compares with, so that two
+//! operators cannot both pass a check that their changes together fail. An
+//! uncertain write is read back before it is answered.
 class ConfigWriter {
 public:
   using Callback = std::function<void(CallAnswer)>;
@@ -29,18 +31,30 @@
                  std::optional<int64_t> Expected, const Callback &Done);
 
 private:
+  //! Value to write, made from the present one; an error ends the change.
+  using MakeValue =
+      std::function<base::Result<std::string>(const std::string &Current)>;
+
   struct Change {
     std::string Key_;
+    MakeValue Make_;
     std::string Value_;
     bool Delete_ = false;
+    //! Revision that the operator saw.
+    std::optional<int64_t> Seen_;
+    //! Revision of the key that Value_ was made for.
     int64_t Expected_ = 0;
+    int Attempts_ = 0;
     Callback Done_;
   };
 
-  void readThen(const std::string &Key, const Callback &Done,
-                std::function<void(const store::KeyValue &Current)> Next);
-  void write(const Change &Wanted);
-  void resolve(const Change &Wanted);
+  //! Reads the whole configuration, then validates and writes.
+  void attempt(Change Wanted);
+  void checkAndWrite(Change Wanted, const store::RangeReply &Current);
+  void write(const Change &Wanted, int64_t Version);
+  //! Finds out what became of a change that was refused or whose answer was
+  //! lost.
+  void resolve(const Change &Wanted, bool Uncertain);
 
   StoreSession &Session_;
 };
