Grant claims in a store outage only on an unbroken proof of ownership

Cause: claims were granted whenever all peers had lost the store, also while this instance had contact, and also by a process that had been paused beyond its lease while another instance took over before the outage. A planned stop ended as soon as no request was active, although requests still arrived on kept connections, and the server cut requests after 120 s although deadlines of up to 600 s are accepted.

Change: the proof continues from a confirmed lease with gaps of at most 1 s, and needs this instance's own loss of contact. The stop waits for 1 s without requests and again after the lease is revoked; the handle timeout is 630 s.

--- a/src/app/Instance.cpp
+++ b/src/app/Instance.cpp
@@ -8,6 +8,7 @@
 #include "store/EtcdStore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuslead::app {
 
@@ -27,6 +28,11 @@
 constexpr auto AnswerFetchTimeout = std::chrono::seconds(1);
 // Age of the last store contact from which a peer counts as without it.
 constexpr int64_t StoreLossAgeMs = 6000;
+// Connections that are kept alive may bring a request until their callers see
+// that they are closed.
+constexpr auto QuietBeforeStop = std::chrono::seconds(1);
+// The longest deadline of a request (600 s) and the time to answer it.
+constexpr int HandleTimeoutMs = 630'000;
 constexpr long ControlConnectionsPerHost = 4;
 
 std::string makeIncarnation(base::Random &Random) {
@@ -67,10 +73,7 @@
                [this](const std::string &Partition) {
                  return Host_.ownerOf(Partition);
                },
-               [this] {
-                 return Host_.ownershipConfirmed() ||
-                        Peers_.storeLostEverywhere(StoreLossAgeMs);
-               }}),
+               [this] { return ownershipProven(); }}),
       Host_(Shared_, Session_, *Workers_, Claims_,
             [this](const std::string &Peer, const link::Message &Message) {
               return Peers_.send(Peer, Message);
@@ -116,6 +119,7 @@
   BOOST_LEAF_CHECK(openListeners());
   updateLive();
   every(RequestTick, [this] {
+    ownershipProven();
     Requests_.tick();
     Claims_.tick();
     Calls_.tick();
@@ -136,6 +140,7 @@
   http::ServerLimits Limits;
   Limits.MaxBodyBytes_ =
       static_cast<std::size_t>(Shared_.Settings_.MaxBodyBytes_);
+  Limits.HandleTimeoutMs_ = HandleTimeoutMs;
   auto [Address, Port] = splitAddress(Shared_.Settings_.CallerAddress_);
   BOOST_LEAF_ASSIGN(
       CallerServer_,
@@ -288,24 +293,52 @@
   Host_.beginDrain();
 }
 
-void Instance::continueDrain() {
-  base::Duration Elapsed = Shared_.Clock_.now() - DrainStarted_;
-  if (Elapsed > AcceptAfterDrain)
-    CallerServer_->stopAccepting();
-  bool Idle = Elapsed > AcceptAfterDrain && Requests_.active() == 0;
+bool Instance::ownershipProven() {
+  base::TimePoint Now = Shared_.Clock_.now();
+  bool LostEverywhere = Session_.contactAgeMs(Now) >= StoreLossAgeMs &&
+                        Peers_.storeLostEverywhere(StoreLossAgeMs);
+  return Proof_.isProven(Host_.ownershipConfirmed(), LostEverywhere, Now);
+}
+
+bool Instance::drainedForGood() const {
   // Without the store nothing can be handed over; the lease ends by itself.
   bool StoreReachable =
       Session_.contactAgeMs(Shared_.Clock_.now()) < StoreLossAgeMs;
-  bool Finished = Idle && (Host_.drained() || !StoreReachable);
+  return AcceptingEnded_ && Requests_.active() == 0 &&
+         (Host_.drained() || !StoreReachable);
+}
+
+void Instance::continueDrain() {
+  base::TimePoint Now = Shared_.Clock_.now();
+  base::Duration Elapsed = Now - DrainStarted_;
+  if (Elapsed > AcceptAfterDrain && !AcceptingEnded_) {
+    AcceptingEnded_ = true;
+    CallerServer_->stopAccepting();
+  }
+  if (!drainedForGood())
+    QuietSince_ = Now;
+  bool Finished = Now - QuietSince_ >= QuietBeforeStop;
   if ((!Finished && Elapsed < MaxDrain) || LeaseRevoked_)
     return;
   LeaseRevoked_ = true;
+  Session_.revokeLease([this] { finishDrain(); });
+}
+
+// Requests on kept connections may have arrived while the lease was revoked.
+void Instance::finishDrain() {
+  base::Duration Elapsed = Shared_.Clock_.now() - DrainStarted_;
+  if (Requests_.active() > 0 && Elapsed < MaxDrain) {
+    every(SessionTick, [this] {
+      if (Requests_.active() == 0 && DrainDone_)
+        std::exchange(DrainDone_, nullptr)();
+    });
+    return;
+  }
   base::logEvent(base::LogLevel::Info, "drain-finished",
                  {{"took_ms", base::toMillis(Elapsed)}});
-  Session_.revokeLease([this] {
-    Peers_.close();
-    DrainDone_();
-  });
+  Peers_.close();
+  if (DrainDone_)
+    std::exchange(DrainDone_, nullptr)();
 }
 
 std::vector<std::string> Instance::notReady() const {
--- a/src/app/Instance.h
+++ b/src/app/Instance.h
@@ -3,6 +3,7 @@
 #include "app/ClaimService.h"
 #include "app/Context.h"
 #include "app/OperatorApi.h"
+#include "app/OwnershipProof.h"
 #include "app/PartitionCalls.h"
 #include "app/PartitionHost.h"
 #include "app/PeerHub.h"
@@ -49,7 +50,11 @@
   void tickPeers();
   void sendLoad();
   void lendSlots();
+  //! Whether this instance may grant claims on its partitions now.
+  bool ownershipProven();
   void continueDrain();
+  bool drainedForGood() const;
+  void finishDrain();
   void received(const std::string &Peer, link::Message Message);
   void fetchAnswer(const std::string &Peer, const std::string &Key,
                    std::function<void(const http::Response *)> Done);
@@ -70,6 +75,7 @@
   std::unique_ptr<platform::InstanceList> List_;
   std::unique_ptr<platform::WorkerGateway> Workers_;
   StoreSession Session_;
+  OwnershipProof Proof_;
   PeerHub Peers_;
   ClaimService Claims_;
   PartitionHost Host_;
@@ -92,8 +98,11 @@
   base::TimePoint NextPull_;
   std::string LastLoad_;
   bool Draining_ = false;
+  bool AcceptingEnded_ = false;
   bool LeaseRevoked_ = false;
   base::TimePoint DrainStarted_;
+  //! Since when nothing has been left to do in the drain.
+  base::TimePoint QuietSince_;
   std::function<void()> DrainDone_;
   base::TimePoint Started_;
 };
