Offer waiting jobs sooner and ask faster about stops for urgent work

Cause: a job waited 30 s before it moved, also in a partition without workers, and a worker was asked only every 1 s while its attempt stopped to make room for urgent work.

Change: a job of which no task holds a worker is offered after 200 ms (urgent) or 3 s (batch), and at once when no worker could hold it; the wait doubles with each move. Offers are subtracted from a peer's room until its summary changes. A job that never fits here is offered before it is refused. A worker that stops an attempt for urgent work is asked every 100 ms. Starts carry the incarnation that their deadlines were read from (the owner's side of the codec's field).

--- a/src/partition/internal/Impl.h
+++ b/src/partition/internal/Impl.h
@@ -40,6 +40,7 @@
   TaskNumber FirstTask_ = 0;
   //! Set when a cancel call waits; no task of the job starts from then on.
   bool CancelWanted_ = false;
+  //! Since when no task of the job holds a worker here.
   base::TimePoint PendingSince_;
   base::TimePoint NextOfferAt_;
   base::Duration OfferDelay_{0};
@@ -50,6 +51,8 @@
   uint32_t Index_ = 0;
   Dispatch Dispatch_ = Dispatch::None;
   bool EvictWanted_ = false;
+  //! Urgent work waits for this attempt's end.
+  bool UrgentWaits_ = false;
   bool InPlanner_ = false;
   WorkerNumber Worker_ = 0;
   //! Start deadline on the worker's clock.
@@ -88,6 +91,11 @@
   std::set<TaskNumber> Active_;
 };
 
+struct OfferedRoom {
+  base::Resources Taken_;
+  base::TimePoint Until_;
+};
+
 struct WaitingCancel {
   uint64_t Call_ = 0;
   std::string Job_;
@@ -208,7 +216,14 @@
   // Transfers.cpp: jobs that move, and periodic entries.
   void runTransfers(base::TimePoint Now);
   bool movable(const JobRecord &Job) const;
+  base::Resources needOf(const JobRecord &Job) const;
+  bool mayRunElsewhere(const JobRecord &Job) const;
+  bool canStartHere(const base::Resources &One) const;
+  base::Duration moveDelay(const JobRecord &Job) const;
+  base::Resources roomAt(const PartitionSummary &Peer) const;
   std::optional<std::string> receiverFor(const JobRecord &Job) const;
+  void stageOffer(const std::string &Id, LiveJob &Live, const std::string &To,
+                  base::TimePoint Now);
   void sendOffer(const JobRecord &Job, LiveJob &Live, base::TimePoint Now);
   void accrue(base::TimePoint Now);
   void stageAccrue(int64_t ToMs);
@@ -224,6 +239,8 @@
   bool WorkersKnown_ = false;
   base::Resources Fleet_;
   std::vector<PartitionSummary> Peers_;
+  //! Room of a peer that offers since its last changed summary will take.
+  std::map<std::string, OfferedRoom> OfferedRoom_;
 
   std::map<std::string, LiveJob> LiveJobs_;
   std::unordered_map<TaskNumber, LiveTask> Tasks_;
--- a/src/partition/internal/Planning.cpp
+++ b/src/partition/internal/Planning.cpp
@@ -178,6 +178,10 @@
 
 void Partition::Impl::setPeerSummaries(
     std::vector<PartitionSummary> Summaries) {
+  for (const PartitionSummary &Old : Peers_)
+    for (const PartitionSummary &New : Summaries)
+      if (New.Id_ == Old.Id_ && !(New.Free_ == Old.Free_))
+        OfferedRoom_.erase(New.Id_);
   Peers_ = std::move(Summaries);
   applyShares();
 }
@@ -202,6 +206,7 @@
     return;
   case DecisionKind::Evict:
     Task.EvictWanted_ = true;
+    Task.UrgentWaits_ = Choice.Reason_ == schedule::Reason::MakeRoomForUrgent;
     if (Task.Dispatch_ != Dispatch::Undurable)
       evict(Task, ReasonNames.name(Choice.Reason_).data(), Now);
     return;
@@ -221,6 +226,14 @@
     return;
   }
   case DecisionKind::Reject:
+    if (mayRunElsewhere(jobOf(Task))) {
+      if (Task.InPlanner_)
+        Planner_.removePending(Choice.Task_);
+      Task.InPlanner_ = false;
+      Task.NotBefore_ = Now + RefitDelay;
+      makePending(Task, Now);
+      return;
+    }
     rejectJob(Task,
               reasonName(Choice.Reason_) +
                   "; nearest size: " + describe(Choice.NearestFit_),
@@ -248,7 +261,7 @@
     return;
   }
   Task.Dispatch_ = Dispatch::Undurable;
-  Task.EvictWanted_ = false;
+  Task.EvictWanted_ = Task.UrgentWaits_ = false;
   Task.Worker_ = Choice.Worker_;
   Task.DeadlineMs_ = workerClock(Worker, Now) +
                      base::toMillis(Settings_.Times_.StartDeadline_);
--- a/src/partition/internal/Transfers.cpp
+++ b/src/partition/internal/Transfers.cpp
@@ -8,10 +8,21 @@
 
 namespace {
 
-//! A job without room here waits this long before it moves.
-constexpr base::Duration MoveAfter = std::chrono::seconds(30);
+//! A job without room here waits this long before its first move, and twice as
+//! long before each further one, so that jobs do not go back and forth. Urgent
+//! work has 1.5 s until its start, of which a move and an eviction take about
+//! 1 s.
+constexpr base::Duration UrgentMoveDelay = std::chrono::milliseconds(200);
+constexpr base::Duration BatchMoveDelay = std::chrono::seconds(3);
+constexpr uint64_t MostDoublings = 6;
+//! A partition that cannot hold a job passes it on without a wait this often;
+//! room is known only as a sum, so the next one may not hold it either.
+constexpr uint64_t HopsWithoutWait = 3;
+constexpr base::Duration ScanInterval = std::chrono::milliseconds(50);
 constexpr base::Duration TransferInterval = std::chrono::seconds(1);
 constexpr base::Duration MaxOfferDelay = std::chrono::seconds(30);
+//! Peers send a summary at least this often.
+constexpr base::Duration SummaryInterval = std::chrono::seconds(10);
 constexpr int OffersPerRound = 20;
 constexpr base::Duration AccrueInterval = std::chrono::minutes(5);
 constexpr int64_t KeepEndedMs = 24LL * 3600 * 1000;
@@ -28,19 +39,57 @@
       [](const TaskRecord &T) { return holdsWorker(T.State_); });
 }
 
-std::optional<std::string>
-Partition::Impl::receiverFor(const JobRecord &Job) const {
+base::Resources Partition::Impl::needOf(const JobRecord &Job) const {
   base::Resources Need = Job.Spec_.PerTask_;
   if (Job.Spec_.Gang_)
     for (std::size_t I = 1; I < Job.Tasks_.size(); ++I)
       Need += Job.Spec_.PerTask_;
+  return Need;
+}
+
+// False when no worker here could hold a task even if it were empty. One that
+// was not asked yet counts as able: after a takeover none has answered.
+bool Partition::Impl::canStartHere(const base::Resources &One) const {
+  return std::any_of(Workers_.begin(), Workers_.end(),
+                     [&](const WorkerLink &Worker) {
+                       return Worker.Listed_ && !Worker.Leaving_ &&
+                              (Worker.Reachable_ || !Worker.Reached_) &&
+                              One.fitsIn(Worker.Info_.Capacity_);
+                     });
+}
+
+base::Duration Partition::Impl::moveDelay(const JobRecord &Job) const {
+  base::Duration Delay = Job.Spec_.Urgent_ ? UrgentMoveDelay : BatchMoveDelay;
+  bool Hopeless = domainState(ownDomain()) != config::DomainState::InService ||
+                  !canStartHere(Job.Spec_.PerTask_);
+  if (Hopeless && Job.Hop_ < HopsWithoutWait)
+    return base::Duration(0);
+  return Delay * (1 << std::min(Job.Hop_, MostDoublings));
+}
+
+base::Resources Partition::Impl::roomAt(const PartitionSummary &Peer) const {
+  base::Resources Room = Peer.Free_;
+  auto Taken = OfferedRoom_.find(Peer.Id_);
+  if (Taken != OfferedRoom_.end() && Now_ < Taken->second.Until_)
+    Room -= Taken->second.Taken_;
+  return Room;
+}
+
+bool Partition::Impl::mayRunElsewhere(const JobRecord &Job) const {
+  return Job.Hop_ < HopsWithoutWait && movable(Job) && receiverFor(Job);
+}
+
+std::optional<std::string>
+Partition::Impl::receiverFor(const JobRecord &Job) const {
+  base::Resources Need = needOf(Job);
   std::optional<std::string> Best;
   double BestShare = 0;
   for (const PartitionSummary &Peer : Peers_) {
-    if (Peer.Id_ == Settings_.Id_ || !Need.fitsIn(Peer.Free_))
+    base::Resources Room = roomAt(Peer);
+    if (Peer.Id_ == Settings_.Id_ || !Need.fitsIn(Room))
       continue;
     // The part of the peer's room that the job would take: the least wins.
-    double Share = base::dominantShare(Need, Peer.Free_);
+    double Share = base::dominantShare(Need, Room);
     if (Best && Share >= BestShare)
       continue;
     Best = Peer.Id_;
@@ -50,10 +99,10 @@
 }
 
 void Partition::Impl::runTransfers(base::TimePoint Now) {
-  if (Handover_ || Now < NextTransferAt_ || !storeFresh(Now) || !Configured_)
+  if (Handover_ || Now < NextTransferAt_ || !storeFresh(Now) || !Configured_ ||
+      !WorkersKnown_)
     return;
-  NextTransferAt_ = Now + TransferInterval;
-  bool Out = domainState(ownDomain()) != config::DomainState::InService;
+  NextTransferAt_ = Now + ScanInterval;
   int Left = OffersPerRound;
   for (auto &[Id, Live] : LiveJobs_) {
     const JobRecord &Job = *State_.find(Id);
@@ -63,36 +112,46 @@
       continue;
     }
     if (Left == 0 || Live.CancelWanted_ || !movable(Job) ||
-        (!Out && Now - Live.PendingSince_ < MoveAfter))
-      continue;
-    auto To = receiverFor(Job);
-    if (!To)
+        Now - Live.PendingSince_ < moveDelay(Job))
       continue;
-    --Left;
-    for (uint32_t I = 0; I < Job.Tasks_.size(); ++I) {
-      LiveTask &Task = Tasks_[Live.FirstTask_ + I];
-      if (Task.InPlanner_)
-        Planner_.removePending(Live.FirstTask_ + I);
-      Task.InPlanner_ = false;
+    if (auto To = receiverFor(Job)) {
+      --Left;
+      stageOffer(Id, Live, *To, Now);
     }
-    Entry Change;
-    Change.Kind_ = EntryKind::Offered;
-    Change.Job_ = Id;
-    Change.Text_ = *To;
-    Change.Number_ = static_cast<int64_t>(Job.Hop_ + 1);
-    Live.OfferDelay_ = TransferInterval;
-    // Sent once the offer is durable.
-    Live.NextOfferAt_ = base::TimePoint::max();
-    log(Id, "offer", Out ? "domain-out" : "no-room", *To);
-    stage(std::move(Change), Job.Spec_.Urgent_,
-          [this, Job = Id](base::TimePoint At) {
-            auto Found = LiveJobs_.find(Job);
-            if (Found != LiveJobs_.end())
-              sendOffer(*State_.find(Job), Found->second, At);
-          });
   }
 }
 
+void Partition::Impl::stageOffer(const std::string &Id, LiveJob &Live,
+                                 const std::string &To, base::TimePoint Now) {
+  const JobRecord &Job = *State_.find(Id);
+  OfferedRoom &Room = OfferedRoom_[To];
+  if (Now >= Room.Until_)
+    Room = {{}, Now + SummaryInterval};
+  for (uint32_t I = 0; I < Job.Tasks_.size(); ++I) {
+    LiveTask &Task = Tasks_[Live.FirstTask_ + I];
+    if (Job.Tasks_[I].State_ == TaskState::Pending)
+      Room.Taken_ += Job.Spec_.PerTask_;
+    if (Task.InPlanner_)
+      Planner_.removePending(Live.FirstTask_ + I);
+    Task.InPlanner_ = false;
+  }
+  Entry Change;
+  Change.Kind_ = EntryKind::Offered;
+  Change.Job_ = Id;
+  Change.Text_ = To;
+  Change.Number_ = static_cast<int64_t>(Job.Hop_ + 1);
+  Live.OfferDelay_ = TransferInterval;
+  // Sent once the offer is durable.
+  Live.NextOfferAt_ = base::TimePoint::max();
+  log(Id, "offer", "no-room", To);
+  stage(std::move(Change), Job.Spec_.Urgent_,
+        [this, Moving = Id](base::TimePoint At) {
+          auto Found = LiveJobs_.find(Moving);
+          if (Found != LiveJobs_.end())
+            sendOffer(*State_.find(Moving), Found->second, At);
+        });
+}
+
 void Partition::Impl::sendOffer(const JobRecord &Job, LiveJob &Live,
                                 base::TimePoint Now) {
   Live.OfferDelay_ =
--- a/src/partition/internal/Workers.cpp
+++ b/src/partition/internal/Workers.cpp
@@ -12,8 +12,11 @@
 //! tasks; such a question grants no lease, so that the lease can end.
 constexpr base::Duration ProbeBusy = std::chrono::seconds(2);
 constexpr base::Duration ProbeIdle = std::chrono::seconds(5);
-//! Delay between questions while an attempt starts or stops.
+//! Delay between questions while an attempt starts or stops, and while urgent
+//! work waits for the stop: 1 s there took most of the 1.5 s that urgent work
+//! has until its start.
 constexpr base::Duration PollChanging = std::chrono::seconds(1);
+constexpr base::Duration PollForUrgent = std::chrono::milliseconds(100);
 //! Shortest delay between questions about tasks past their declared end.
 constexpr base::Duration PollEnding = std::chrono::seconds(2);
 
@@ -186,10 +189,14 @@
   Out.Request_.LeaseMs_ = base::toMillis(Worker.Grant_);
   if (Worker.Reachable_)
     Worker.InFlight_.swap(Worker.Outbox_);
-  for (const platform::WorkerCommand &Command : Worker.InFlight_)
-    if (Command.Kind_ == CommandKind::Start)
-      if (LiveTask *Task = findTask(Command.Task_))
-        Task->Dispatch_ = Dispatch::Sent;
+  for (const platform::WorkerCommand &Command : Worker.InFlight_) {
+    if (Command.Kind_ != CommandKind::Start)
+      continue;
+    // The deadline is a reading of this incarnation's clock.
+    Out.Request_.ExpectedIncarnation_ = Worker.Incarnation_;
+    if (LiveTask *Task = findTask(Command.Task_))
+      Task->Dispatch_ = Dispatch::Sent;
+  }
   Out.Request_.Commands_ = Worker.InFlight_;
   Worker.NextRenewAt_ = Now + Settings_.Times_.RenewInterval_;
   Worker.NextPollAt_ = base::TimePoint::max();
@@ -243,7 +250,8 @@
     if (record(Task).State_ == TaskState::Running)
       At = std::min(At, std::max(Task.ExpectedEnd_, Now + PollEnding));
     else
-      At = std::min(At, Now + PollChanging);
+      At = std::min(At,
+                    Now + (Task.UrgentWaits_ ? PollForUrgent : PollChanging));
   }
   Worker.NextPollAt_ = std::min(Worker.NextPollAt_, At);
 }
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -35,7 +35,7 @@
       LastAdvance_(Clock_.now()) {}
 
 void WorkerStandin::handle(http::Request Request,
-                           std::shared_ptr<http::Responder> Out) {
+                           const std::shared_ptr<http::Responder> &Out) {
   if (Faults_.Down_ || Faults_.Cut_) {
     Out->abort();
     return;
--- a/standins/WorkerStandin.h
+++ b/standins/WorkerStandin.h
@@ -44,7 +44,8 @@
 public:
   WorkerStandin(asio::io_context &Loop, WorkerSpec Spec, Observer &Watch);
 
-  void handle(http::Request Request, std::shared_ptr<http::Responder> Out);
+  void handle(http::Request Request,
+              const std::shared_ptr<http::Responder> &Out);
   //! Moves tasks forward, and ends them when the lease has ended.
   void advance();
   void setFaults(const nlohmann::json &Change);
--- a/tests/partition/Lifecycle.tests.cpp
+++ b/tests/partition/Lifecycle.tests.cpp
@@ -178,3 +178,48 @@
   CHECK(W.Oracle_.Starts_ == 2);
   CHECK(W.Oracle_.text() == "");
 }
+
+// Guards the deadline check for starts that a report does not name: a start
+// whose answer was lost may still arrive until its deadline has passed.
+TEST_CASE("an absent start is given up only after its deadline") {
+  World W(31, 2);
+  // Longer than the 2 s until the worker is asked again.
+  W.StartDeadline_ = std::chrono::seconds(5);
+  W.kill();
+  W.run(16'000);
+  REQUIRE(W.takeOver());
+  W.run(2000);
+  W.DelayStartsMs_ = 4000;
+  W.submit(batchJob("a", 1, 0));
+  W.run(500);
+  REQUIRE(W.current()->job("a")->Tasks_[0].State_ == "starting");
+  W.run(30'000);
+  CHECK(W.Oracle_.text() == "");
+  CHECK(W.Oracle_.Starts_ == 1);
+  CHECK(W.current()->job("a")->Tasks_[0].Attempt_ == 1);
+}
+
+// Guards the wait to the horizon of 15 minutes: a former owner that lost the
+// store may have granted leases up to there. A wait of one worker lease (60 s)
+// starts the tasks in two places.
+TEST_CASE("a successor does not run tasks beside a long lease") {
+  World W(32, 2);
+  W.submit(batchJob("a", 1, 0));
+  W.run(4000);
+  REQUIRE(W.Oracle_.RunsOn_.size() == 1);
+  std::string Holder = W.Oracle_.RunsOn_.begin()->second;
+  W.StoreDown_ = true;
+  W.run(60'000);
+  W.kill();
+  for (FakeWorker &One : W.Workers_)
+    One.CutOff_ = One.Id_ == Holder;
+  W.StoreDown_ = false;
+  W.run(20'000);
+  REQUIRE(W.takeOver());
+  W.run(300'000);
+  CHECK(W.Oracle_.RunsOn_.begin()->second == Holder);
+  CHECK(W.Oracle_.Starts_ == 1);
+  W.run(700'000);
+  CHECK(W.Oracle_.Starts_ == 2);
+  CHECK(W.Oracle_.text() == "");
+}
--- a/tests/partition/World.cpp
+++ b/tests/partition/World.cpp
@@ -229,10 +229,12 @@
   Sequence_ = 0;
 }
 
-World::World(uint64_t Seed, int Workers) : Random_(Seed) {
+World::World(uint64_t Seed, int Workers, std::string Id, Oracle *Shared)
+    : Random_(Seed), Id_(std::move(Id)),
+      Oracle_(Shared == nullptr ? OwnRules_ : *Shared) {
   for (int I = 0; I < Workers; ++I) {
     FakeWorker One;
-    One.Id_ = "w" + std::to_string(I);
+    One.Id_ = (Shared == nullptr ? "w" : Id_ + "w") + std::to_string(I);
     One.ClockOffset_ = static_cast<int64_t>(Random_.below(1'000'000));
     Workers_.push_back(std::move(One));
   }
@@ -296,10 +298,11 @@
 
 PartitionSettings World::settings(int64_t Epoch) const {
   PartitionSettings Settings;
-  Settings.Id_ = "p1";
+  Settings.Id_ = Id_;
   Settings.Epoch_ = Epoch;
   Settings.OwnerKey_ = Prefix + "owner";
   Settings.DomainsKey_ = DomainsKey;
+  Settings.Times_.StartDeadline_ = StartDeadline_;
   Settings.Domain_ = "d1";
   Settings.SnapshotAfterBatches_ = SnapshotAfterBatches_;
   return Settings;
@@ -408,6 +411,7 @@
     for (const Action &Value : Owner.Partition_->takeActions())
       perform(Owner, Value);
     keepAlive(Owner);
+    yieldWhenQuiescent(Owner);
   }
   expireOwner();
 }
@@ -431,6 +435,31 @@
     Owners_.back().Partition_.reset();
 }
 
+void World::handOver() {
+  if (Partition *Owner = current()) {
+    Owner->beginHandover();
+    Owners_.back().Yielding_ = true;
+  }
+}
+
+// As in a serving process, the owner goes on until the store has answered.
+void World::yieldWhenQuiescent(FakeOwner &Owner) {
+  if (!Owner.Yielding_ || StoreDown_ || !Owner.Partition_->isQuiescent())
+    return;
+  Owner.Yielding_ = false;
+  at(delay(), [this, Epoch = Owner.Epoch_] {
+    auto Key = Store_.Data_.find(Prefix + "owner");
+    if (Key != Store_.Data_.end() && Key->second.CreateRevision_ == Epoch)
+      Store_.Data_.erase(Key);
+    takeOver();
+    at(delay(), [this, Epoch] {
+      for (FakeOwner &One : Owners_)
+        if (One.Epoch_ == Epoch)
+          One.Partition_.reset();
+    });
+  });
+}
+
 void World::pause(int64_t Ms) {
   if (!Owners_.empty())
     Owners_.back().PausedUntil_ = NowMs_ + Ms;
@@ -577,6 +606,11 @@
   int64_t Way = LoseAnswers_ > 0 && Random_.below(50) == 0
                     ? static_cast<int64_t>(Random_.below(8000))
                     : delay();
+  if (DelayStartsMs_ > 0 && !Message.Request_.ExpectedIncarnation_.empty()) {
+    Way = std::exchange(DelayStartsMs_, 0);
+    LoseReply = true;
+    at(0, Fail);
+  }
   at(Way, [this, Epoch, Message, Fail, LoseRequest, LoseReply] {
     auto Found = std::find_if(Workers_.begin(), Workers_.end(),
                               [&Message](const FakeWorker &W) {
--- a/tests/partition/World.h
+++ b/tests/partition/World.h
@@ -88,13 +88,18 @@
   int64_t PausedUntil_ = 0;
   int64_t KeepAliveAt_ = 0;
   std::vector<std::function<void()>> Held_;
+  bool Yielding_ = false;
 };
 
 //! One partition, its store and workers, and up to a few owners, on a paused
 //! clock. Every random choice comes from the seed.
 class World {
 public:
-  World(uint64_t Seed, int Workers);
+  //! Worlds of one fleet share an oracle and have different ids.
+  World(uint64_t Seed, int Workers, std::string Id = "p1",
+        Oracle *Shared = nullptr);
+  World(const World &) = delete;
+  World &operator=(const World &) = delete;
 
   //! Lets a new owner take the partition; false while the owner key is there.
   bool takeOver();
@@ -107,6 +112,8 @@
   void setDomain(config::DomainState State);
   void kill();
   void pause(int64_t Ms);
+  //! Hands the partition over to a new owner, as at a planned stop.
+  void handOver();
   uint64_t submit(JobSpec Job);
   uint64_t cancel(const std::string &Job);
   bool answered(uint64_t Call) const;
@@ -115,7 +122,9 @@
 
   base::Random Random_;
   FakeStore Store_;
-  Oracle Oracle_;
+  std::string Id_;
+  Oracle OwnRules_;
+  Oracle &Oracle_;
   std::vector<FakeWorker> Workers_;
   std::vector<FakeOwner> Owners_;
   std::vector<PartitionSummary> Peers_;
@@ -127,6 +136,10 @@
   //! Part of calls whose answer is lost, in percent, and longest delay.
   int LoseAnswers_ = 0;
   int64_t MaxDelayMs_ = 20;
+  //! When set, the sender gives up messages with starts at once, and they
+  //! arrive this much later, beside newer messages.
+  int64_t DelayStartsMs_ = 0;
+  base::Duration StartDeadline_ = std::chrono::milliseconds(1500);
   uint64_t Commits_ = 0;
   uint64_t CommitBytes_ = 0;
   uint64_t ReadBacks_ = 0;
@@ -153,6 +166,7 @@
   void noteForget(const FakeOwner &Owner, const platform::WorkerRequest &To);
   void keepAlive(FakeOwner &Owner);
   void expireOwner();
+  void yieldWhenQuiescent(FakeOwner &Owner);
   PartitionSettings settings(int64_t Epoch) const;
   static std::string stateText(const Partition &Of);
   config::Configuration configuration() const;
