Count control bytes by kind and measure a fleet

Cause: the cost of control could not be read from a running instance, and no command measured a fleet.

Partition summaries, which visit all tasks, are made every 0.5 s instead of four times in each 50 ms tick, and load summaries every 2 s.

Conclusion: the cost is measurable by kind.

--- a/bench/Figures.h
+++ b/bench/Figures.h
@@ -34,4 +34,8 @@
 void routeFigures();
 void fleetFigures();
 
+//! Sends Count GET requests to Url, Concurrency at a time, and prints p50, p99
+//! and requests per second as one JSON line; false when one failed.
+bool runLoadClient(const std::string &Url, int Concurrency, int Count);
+
 } // namespace crocuslead::bench
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 
 namespace crocuslead::bench {
@@ -43,8 +44,14 @@
 
 } // namespace crocuslead::bench
 
-// With area names as arguments, measures only those areas.
+// With area names as arguments, measures only those areas;
+// `load URL CONCURRENCY COUNT` sends HTTP requests instead.
 int main(int Argc, char **Argv) {
+  if (Argc == 5 && std::strcmp(Argv[1], "load") == 0)
+    return crocuslead::bench::runLoadClient(Argv[2], std::atoi(Argv[3]),
+                                            std::atoi(Argv[4]))
+               ? 0
+               : 1;
   for (const auto &Area : crocuslead::bench::Areas) {
     bool Wanted = Argc == 1;
     for (int I = 1; I < Argc; ++I)
--- a/src/app/Instance.cpp
+++ b/src/app/Instance.cpp
@@ -51,10 +51,13 @@
                                           makeIncarnation(Random_)},
       RequestClient_(http::makeClient(Loop, 0)),
       ControlClient_(http::makeClient(Loop, ControlConnectionsPerHost)),
-      Store_(store::makeEtcdStore(*ControlClient_, Loop, Settings.StoreUrl_)),
-      List_(platform::makeHttpInstanceList(*ControlClient_, Loop,
-                                           Settings.InstanceListUrl_)),
-      Workers_(platform::makeHttpWorkerGateway(*ControlClient_, Loop, {})),
+      Store_(store::makeEtcdStore(*ControlClient_, Loop, Settings.StoreUrl_,
+                                  Traffic_.Store_)),
+      List_(platform::makeHttpInstanceList(
+          *ControlClient_, Loop, Settings.InstanceListUrl_,
+          std::chrono::seconds(2), Traffic_.List_)),
+      Workers_(platform::makeHttpWorkerGateway(*ControlClient_, Loop, {},
+                                               Traffic_.Workers_)),
       Session_(Shared_, *Store_),
       Peers_(Shared_,
              [this](const std::string &Peer, link::Message Message) {
@@ -224,14 +227,16 @@
 
 void Instance::sendLoad() {
   base::TimePoint Now = Shared_.Clock_.now();
-  if (Now < NextLoad_)
+  // A summary visits all tasks of the partitions, so it is not made each tick.
+  if (Now < NextLoadCheck_)
     return;
+  NextLoadCheck_ = Now + LoadChangeInterval;
   link::LoadSummary Summary = Host_.loadSummary();
   std::string Encoded = link::encode(Summary);
   bool Changed = Encoded != LastLoad_;
-  if (!Changed && Now < NextLoad_ + (LoadInterval - LoadChangeInterval))
+  if (!Changed && Now < NextLoad_)
     return;
-  NextLoad_ = Now + LoadChangeInterval;
+  NextLoad_ = Now + LoadInterval;
   LastLoad_ = std::move(Encoded);
   Host_.setPeerLoad(Shared_.Settings_.InstanceId_, Summary);
   if (!Summary.Partitions_.empty())
--- a/src/app/Instance.h
+++ b/src/app/Instance.h
@@ -2,6 +2,7 @@
 
 #include "app/ClaimService.h"
 #include "app/Context.h"
+#include "app/ControlTraffic.h"
 #include "app/OperatorApi.h"
 #include "app/PartitionCalls.h"
 #include "app/PartitionHost.h"
@@ -64,6 +65,7 @@
   base::Random Random_;
   Context Shared_;
   base::MetricsRegistry Metrics_;
+  ControlTraffic Traffic_;
   std::unique_ptr<http::Client> RequestClient_;
   std::unique_ptr<http::Client> ControlClient_;
   std::unique_ptr<store::KeyValueStore> Store_;
@@ -89,6 +91,7 @@
   std::map<uint64_t, AnswerCall> AnswerCalls_;
   uint64_t NextAnswerCall_ = 1;
   base::TimePoint NextLoad_;
+  base::TimePoint NextLoadCheck_;
   base::TimePoint NextPull_;
   std::string LastLoad_;
   bool Draining_ = false;
--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr auto OwnershipInterval = std::chrono::milliseconds(500);
+// A summary visits all tasks of a partition; those of peers are 2 s old anyway.
+constexpr auto SummaryInterval = std::chrono::milliseconds(500);
 constexpr auto RecoverRetry = std::chrono::milliseconds(300);
 
 template <typename T> const T *success(const store::StoreResult<T> &Result) {
@@ -180,6 +182,12 @@
         abandon(Action.Partition_);
     }
   }
+  bool NewSummaries = Now >= NextSummaries_;
+  std::vector<partition::PartitionSummary> Summaries;
+  if (NewSummaries) {
+    NextSummaries_ = Now + SummaryInterval;
+    Summaries = otherSummaries();
+  }
   std::vector<std::string> Ids = ownedIds();
   for (const std::string &Id : Ids) {
     auto Found = Hosted_.find(Id);
@@ -188,7 +196,8 @@
     Hosted &Each = *Found->second;
     if (Session_.hasContact() && ownershipConfirmed())
       Each.Partition_.storeContact(Session_.lastContact());
-    Each.Partition_.setPeerSummaries(otherSummaries());
+    if (NewSummaries)
+      Each.Partition_.setPeerSummaries(Summaries);
     Each.Partition_.tick(Now, Shared_.Clock_.wallNow());
     perform(Each);
     // perform() may have ended the partition.
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -107,6 +107,7 @@
   platform::InstanceSnapshot Instances_;
   std::map<std::string, partition::PartitionSummary> PeerLoad_;
   std::map<std::string, base::Resources> LastSentUse_;
+  base::TimePoint NextSummaries_;
   base::TimePoint NextOwnershipStep_;
   bool Draining_ = false;
   uint64_t NextCall_ = 1;
--- a/src/app/StateDump.cpp
+++ b/src/app/StateDump.cpp
@@ -115,6 +115,10 @@
   Out["claims"] = {{"entries", Claims_.tableSize()},
                    {"kept_answer_bytes", Requests_.keptBytes()}};
   Out["link"] = linkRow(Peers_.counters());
+  Out["control_bytes"] = json::object();
+  for (const ControlRow &Row : controlRows(Traffic_, Peers_.counters()))
+    Out["control_bytes"][Row.Kind_] = {
+        {"control", Row.Control_}, {"work", Row.Work_}, {"calls", Row.Calls_}};
   http::ClientCounters Control = ControlClient_->counters();
   Out["control_client"] = {{"bytes_sent", Control.BytesSent_},
                            {"bytes_received", Control.BytesReceived_},
@@ -166,6 +170,18 @@
        "Bytes to and from store, instance list and workers.",
        Control.BytesSent_ + Control.BytesReceived_},
   };
+  for (const ControlRow &Row : controlRows(Traffic_, Link)) {
+    Metrics_
+        .counter("crocuslead_control_bytes_total",
+                 "Bytes sent and received that flow without work.",
+                 {{"kind", Row.Kind_}})
+        .set(Row.Control_);
+    Metrics_
+        .counter("crocuslead_work_bytes_total",
+                 "Bytes of commits, commands, claims and operator calls.",
+                 {{"kind", Row.Kind_}})
+        .set(Row.Work_);
+  }
   for (const GaugeRow &Row : Gauges)
     Metrics_.gauge(Row.Name_, Row.Help_).set(Row.Value_);
   for (const CounterRow &Row : Totals)
--- a/src/link/Link.h
+++ b/src/link/Link.h
@@ -39,6 +39,9 @@
   uint64_t FramesReceived_ = 0;
   uint64_t BytesSent_ = 0;
   uint64_t BytesReceived_ = 0;
+  //! Part of the above that flows without work, see isControl().
+  uint64_t ControlFrames_ = 0;
+  uint64_t ControlBytes_ = 0;
   uint64_t FramesMalformed_ = 0;
   uint64_t FramesRefused_ = 0;
   uint64_t HandshakesFailed_ = 0;
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -161,6 +161,16 @@
                  AnswerFetchReply, OperatorCall, OperatorReply, TransferOffer,
                  TransferAccept, SlotLend>;
 
+//! True for the messages that flow without work: pings, configuration and load
+//! summaries.
+inline bool isControl(const Message &Value) {
+  return std::holds_alternative<Ping>(Value) ||
+         std::holds_alternative<Pong>(Value) ||
+         std::holds_alternative<ConfigPull>(Value) ||
+         std::holds_alternative<ConfigPush>(Value) ||
+         std::holds_alternative<LoadSummary>(Value);
+}
+
 //! CBOR form: an array of the message's number and a map from field number to
 //! value. Field numbers are decimal text, the only keys that nlohmann-json
 //! accepts; strings are byte strings. Fields with default values are omitted.
--- a/src/link/internal/LinkCore.cpp
+++ b/src/link/internal/LinkCore.cpp
@@ -172,6 +172,7 @@
   if (Binary && Parsed) {
     // The handler may close the link and with it this session.
     std::string Peer = From.Handshake_.peerId();
+    countControl(*Parsed, Frame.size());
     std::string Incarnation = From.Handshake_.peerIncarnation();
     HandleMessage_(Peer, Incarnation, std::move(*Parsed));
     return;
@@ -275,12 +276,21 @@
   Session &To = Sessions_.at(Id);
   std::string Frame = encode(Value);
   if (Frame.size() <= MaxFrameBytes && hasRoom(To, Id, Frame.size()) &&
-      transmit(Id, To, Frame))
+      transmit(Id, To, Frame)) {
+    countControl(Value, Frame.size());
     return true;
+  }
   ++Counters_.FramesRefused_;
   return false;
 }
 
+void LinkCore::countControl(const Message &Value, std::size_t Bytes) {
+  if (!isControl(Value))
+    return;
+  ++Counters_.ControlFrames_;
+  Counters_.ControlBytes_ += Bytes;
+}
+
 bool LinkCore::isConnected(const std::string &Peer) const {
   auto Found = Peers_.find(Peer);
   return !Closed_ && Found != Peers_.end() && Found->second.Current_ != 0;
--- a/src/link/internal/LinkCore.h
+++ b/src/link/internal/LinkCore.h
@@ -73,6 +73,7 @@
   void closed(ConnectionId Id, bool ProtocolError);
   //! Forgets a connection and its place as a peer's current one.
   void forget(ConnectionId Id);
+  void countControl(const Message &Value, std::size_t Bytes);
   bool hasRoom(Session &To, ConnectionId Id, std::size_t Bytes) const;
   bool transmit(ConnectionId Id, Session &To, const std::string &Frame);
   std::size_t unverifiedIncoming() const;
--- a/src/platform/HttpInstanceList.cpp
+++ b/src/platform/HttpInstanceList.cpp
@@ -42,9 +42,12 @@
 class HttpInstanceList final : public InstanceList {
 public:
   HttpInstanceList(http::Client &Client, asio::io_context &Loop,
-                   std::string BaseUrl, base::Duration Timeout)
+                   std::string BaseUrl, base::Duration Timeout,
+                   std::shared_ptr<ListCounters> Counters)
       : Client_(Client), Loop_(Loop), BaseUrl_(std::move(BaseUrl)),
-        Timeout_(Timeout) {
+        Timeout_(Timeout), Counters_(std::move(Counters)) {
+    if (!Counters_)
+      Counters_ = std::make_shared<ListCounters>();
     while (!BaseUrl_.empty() && BaseUrl_.back() == '/')
       BaseUrl_.pop_back();
   }
@@ -60,13 +63,15 @@
     Call.Url_ =
         BaseUrl_ + "/v1/instances?revision=" + std::to_string(KnownRevision);
     Call.Timeout_ = Timeout_;
-    Running_ = Client_.send(std::move(Call),
-                            [this, KnownRevision, Done = std::move(Done)](
-                                const http::ExchangeResult &Result) {
-                              Running_.reset();
-                              // The receiver may destroy this list.
-                              Done(interpret(Result, KnownRevision));
-                            });
+    Running_ = Client_.send(
+        std::move(Call), [this, KnownRevision, Done = std::move(Done)](
+                             const http::ExchangeResult &Result) {
+          Running_.reset();
+          Counters_->BytesSent_ += Result.BytesSent_;
+          Counters_->BytesReceived_ += Result.BytesReceived_;
+          // The receiver may destroy this list.
+          Done(interpret(Result, KnownRevision));
+        });
   }
 
 private:
@@ -74,18 +79,19 @@
   asio::io_context &Loop_;
   std::string BaseUrl_;
   base::Duration Timeout_;
+  std::shared_ptr<ListCounters> Counters_;
   std::unique_ptr<http::Exchange> Running_;
   std::shared_ptr<void> Alive_ = std::make_shared<char>();
 };
 
 } // namespace
 
-std::unique_ptr<InstanceList> makeHttpInstanceList(http::Client &Client,
-                                                   asio::io_context &Loop,
-                                                   std::string BaseUrl,
-                                                   base::Duration Timeout) {
+std::unique_ptr<InstanceList>
+makeHttpInstanceList(http::Client &Client, asio::io_context &Loop,
+                     std::string BaseUrl, base::Duration Timeout,
+                     std::shared_ptr<ListCounters> Counters) {
   return std::make_unique<HttpInstanceList>(Client, Loop, std::move(BaseUrl),
-                                            Timeout);
+                                            Timeout, std::move(Counters));
 }
 
 } // namespace crocuslead::platform
--- a/src/platform/HttpInstanceList.h
+++ b/src/platform/HttpInstanceList.h
@@ -25,13 +25,19 @@
 //! state, domain and region of each instance.
 base::Result<InstanceSnapshot> decodeInstances(std::string_view Body);
 
+struct ListCounters {
+  uint64_t BytesSent_ = 0;
+  uint64_t BytesReceived_ = 0;
+};
+
 //! Fetches the list from GET <BaseUrl>/v1/instances?revision=N. Status 304
 //! means that nothing has changed. One fetch runs at a time; a second one
 //! fails with Overloaded. Client must outlive the list; destroying the list
-//! drops the fetch without calling back.
+//! drops the fetch without calling back. Counters may be null.
 std::unique_ptr<InstanceList>
 makeHttpInstanceList(http::Client &Client, asio::io_context &Loop,
                      std::string BaseUrl,
-                     base::Duration Timeout = std::chrono::seconds(2));
+                     base::Duration Timeout = std::chrono::seconds(2),
+                     std::shared_ptr<ListCounters> Counters = nullptr);
 
 } // namespace crocuslead::platform
--- a/src/platform/HttpWorkerGateway.cpp
+++ b/src/platform/HttpWorkerGateway.cpp
@@ -110,11 +110,11 @@
   // request names none.
   static void remember(ReportBase &Known, int64_t Epoch, const Outcome &Got) {
     const auto *Reply = std::get_if<WorkerReply>(&Got);
-    if (Reply == nullptr || Reply->EpochRefused_)
-      Known = {};
-    else if (Reply->HasReport_)
+    bool Answered = Reply != nullptr && !Reply->EpochRefused_;
+    if (Answered && Reply->HasReport_)
       Known = makeReportBase(*Reply, Epoch);
-    else if (Reply->Incarnation_ != Known.Incarnation_ || Known.Epoch_ != Epoch)
+    else if (!Answered || Reply->Incarnation_ != Known.Incarnation_ ||
+             Known.Epoch_ != Epoch)
       Known = {};
   }
 
--- a/tests/platform/HttpAdapters.tests.cpp
+++ b/tests/platform/HttpAdapters.tests.cpp
@@ -1,6 +1,7 @@
 #include "http/Client.h"
 #include "platform/HttpInstanceList.h"
 #include "platform/HttpWorkerGateway.h"
+#include "platform/ReportDelta.h"
 #include "platform/WorkerCodec.h"
 
 #include "support/LoopFakes.h"
@@ -173,6 +174,52 @@
         Counters_->BytesSent_ + Counters_->BytesReceived_);
 }
 
+// Guards against differences to a report whose answer was lost, or of an
+// earlier epoch.
+TEST_CASE_FIXTURE(Fixture, "a report is known only after its answer arrived") {
+  WorkerReply Full;
+  Full.WorkerClockMs_ = 10;
+  Full.HasReport_ = true;
+  Full.ReportSequence_ = 1;
+  Full.Incarnation_ = "w.1";
+  Full.Attempts_.resize(1);
+  Full.Attempts_[0].Task_ = "t";
+  Full.Attempts_[0].CpuMillis_ = 7;
+  WorkerReply Packed = Full;
+  Packed.ReportSequence_ = 2;
+  Packed.Attempts_[0].CpuMillis_ = 9;
+  ReportBase Base = makeReportBase(Full, 3);
+  packReply(Packed, Base);
+  std::string First = okAnswer(encodeReply(Full));
+  std::string Second = okAnswer(encodeReply(Packed));
+  serve({{First}, {Second}, {"", Then::Close}, {First}, {First}, {Second}});
+  std::vector<std::variant<WorkerReply, base::Error>> Got;
+  auto Exchange = [&](int64_t Epoch) {
+    WorkerRequest Request;
+    Request.Worker_ = "w";
+    Request.Address_ = "127.0.0.1:" + std::to_string(Fake_->port());
+    Request.Epoch_ = Epoch;
+    std::size_t Before = Got.size();
+    Gateway_->send(Request, [&](auto Result) { Got.push_back(Result); });
+    runUntil(Loop_, [&] { return Got.size() > Before; });
+    const std::string &Text = Fake_->Requests_.back();
+    return decodeRequest(Text.substr(Text.find("\r\n\r\n") + 4))->KnownReport_;
+  };
+  CHECK(Exchange(3) == 0);
+  CHECK(Exchange(3) == Base.token());
+  const auto &Restored = std::get<WorkerReply>(Got[1]);
+  CHECK(Restored.Incarnation_ == "w.1");
+  CHECK(Restored.Attempts_.at(0).Task_ == "t");
+  CHECK(Restored.Attempts_.at(0).CpuMillis_ == 9);
+  Exchange(3);
+  CHECK(Got[2].index() == 1);
+  CHECK(Exchange(3) == 0);
+  CHECK(Exchange(4) == 0);
+  // The worker must not pack for a request that names no report.
+  CHECK(Exchange(5) == 0);
+  CHECK(Got[5].index() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "the instance list is fetched once for a revision") {
   RawServer Fake(Loop_, {{okAnswer(list(Entry))},
                          {status(304)},
