--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto OwnershipInterval = std::chrono::milliseconds(500);
 constexpr std::size_t MaxRackDigits = 9;
+// A summary visits all tasks of a partition; those of peers are 2 s old anyway.
+constexpr auto SummaryInterval = std::chrono::milliseconds(500);
 
 partition::PartitionSummary toSummary(const link::PartitionLoad &Load) {
   partition::PartitionSummary Out;
@@ -183,6 +185,12 @@
   }
   retryRecoveries(Now);
   releaseOrphans(Now);
+  bool NewSummaries = Now >= NextSummaries_;
+  std::vector<partition::PartitionSummary> Summaries;
+  if (NewSummaries) {
+    NextSummaries_ = Now + SummaryInterval;
+    Summaries = otherSummaries();
+  }
   std::vector<std::string> Ids = ownedIds();
   for (const std::string &Id : Ids) {
     auto Found = Hosted_.find(Id);
@@ -191,7 +199,8 @@
     Hosted &Each = *Found->second;
     if (Session_.hasContact() && ownershipConfirmed())
       Each.Partition_.storeContact(Session_.lastContact());
-    Each.Partition_.setPeerSummaries(otherSummaries());
+    if (NewSummaries)
+      Each.Partition_.setPeerSummaries(Summaries);
     Each.Partition_.tick(Now, Shared_.Clock_.wallNow());
     perform(Each);
     // perform() may have ended the partition.
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -120,6 +120,7 @@
   platform::InstanceSnapshot Instances_;
   std::map<std::string, partition::PartitionSummary> PeerLoad_;
   std::map<std::string, base::Resources> LastSentUse_;
+  base::TimePoint NextSummaries_;
   base::TimePoint NextOwnershipStep_;
   base::TimePoint NextRelease_;
   bool Draining_ = false;
