--- a/src/app/RequestPath.cpp
+++ b/src/app/RequestPath.cpp
@@ -83,8 +83,10 @@
   Added->Started_ = Shared_.Clock_.now();
   Active &Target = *(Active_[Id] = std::move(Added));
   Target.Out_->onClosed([this, Id] {
-    if (find(Id) == nullptr)
+    Active *Left = find(Id);
+    if (Left == nullptr)
       return;
+    Left->CallerGone_ = true;
     Router_.callerGone(Id, Shared_.Clock_.now());
     pump();
   });
@@ -94,7 +96,9 @@
 void RequestPath::admit(Active &Target) {
   ParsedRequest Parsed = parseRequest(Target.Request_);
   if (Parsed.Error_) {
-    refuse(Target, Parsed.Error_->Kind_, base::Outcome::NotRun,
+    // A request with a valid key may have run before, with other headers.
+    refuse(Target, Parsed.Error_->Kind_,
+           Parsed.Key_.empty() ? base::Outcome::NotRun : base::Outcome::Unknown,
            Parsed.Error_->Message_);
     return;
   }
@@ -154,7 +158,12 @@
     }
     Target->ClaimHeld_ = true;
     Target->ClaimText_ = "granted";
-    route(*Target);
+    // The router does not know the request yet, so it missed the closing.
+    if (Target->CallerGone_)
+      refuse(*Target, base::ErrorKind::DeadlineBeforeSend,
+             base::Outcome::NotRun, "the caller closed its connection");
+    else
+      route(*Target);
     return;
   }
   if (Reply.Verdict_ == route::ClaimVerdict::AlreadyRan) {
@@ -338,6 +347,11 @@
   Report.HttpStatus_ = Ended.Answer_.Status_;
   Report.AnswerBytes_ = Ended.AnswerBytes_;
   Ended.End_ = attemptEndName(Report.End_);
+  // The caller has part of another attempt's answer: this one came second, and
+  // delivering it would cut the first.
+  if (Target->Streaming_ != 0 && Target->Streaming_ != Number &&
+      Report.End_ == route::AttemptEnd::Answered)
+    Report.End_ = route::AttemptEnd::Cancelled;
   if (Target->Streaming_ == Number &&
       Report.End_ != route::AttemptEnd::Answered) {
     // The caller has part of the answer already: it sees the connection cut,
@@ -407,6 +421,10 @@
 http::Headers RequestPath::answerHeaders(const Active &Target,
                                          const http::Headers &Upstream) const {
   http::Headers Out = callerHeaders(Upstream);
+  // The answer to HEAD names the length of a body that it does not have.
+  const std::string *Length = http::findHeader(Upstream, "Content-Length");
+  if (Target.Request_.Method_ == "HEAD" && Length != nullptr)
+    Out.emplace_back("Content-Length", *Length);
   Out.emplace_back("Crocuslead-Outcome", "ran");
   Out.emplace_back("Crocuslead-Request-Id", Target.PublicId_);
   if (Draining_)
--- a/src/app/internal/ActiveRequest.h
+++ b/src/app/internal/ActiveRequest.h
@@ -27,6 +27,7 @@
   std::string Key_;
   std::string ClaimText_;
   bool ClaimHeld_ = false;
+  bool CallerGone_ = false;
   base::TimePoint Started_;
   std::map<uint32_t, Attempt> Attempts_;
   //! Attempt whose answer is being streamed to the caller; 0 for none.
--- a/src/app/internal/RequestParse.cpp
+++ b/src/app/internal/RequestParse.cpp
@@ -83,8 +83,12 @@
     const char *End = Text->data() + Text->size();
     auto Parsed = std::from_chars(Text->data(), End, Value);
     if (Parsed.ec != std::errc() || Parsed.ptr != End || Value < 1 ||
-        Value > MaxDeadlineMs)
-      return invalid("header Crocuslead-Deadline-Ms: expected 1 to 600000");
+        Value > MaxDeadlineMs) {
+      ParsedRequest Refused =
+          invalid("header Crocuslead-Deadline-Ms: expected 1 to 600000");
+      Refused.Key_ = Out.Key_;
+      return Refused;
+    }
     Out.DeadlineMs_ = Value;
   }
   return Out;
