--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -76,8 +76,7 @@
 
 void PartitionHost::configChanged() {
   rebuildPartitions();
-  for (auto &[Id, Each] : Hosted_)
-    feed(*Each);
+  feedAll();
 }
 
 void PartitionHost::ownersChanged() {
@@ -107,8 +106,7 @@
 
 void PartitionHost::setInstances(const platform::InstanceSnapshot &Snapshot) {
   Instances_ = Snapshot;
-  for (auto &[Id, Each] : Hosted_)
-    feed(*Each);
+  feedAll();
 }
 
 void PartitionHost::setLive(std::vector<partition::LiveInstance> Live) {
@@ -320,6 +318,15 @@
   perform(Target);
 }
 
+// Performing actions may end a partition, so the map must not be iterated.
+void PartitionHost::feedAll() {
+  for (const std::string &Id : ownedIds()) {
+    auto Found = Hosted_.find(Id);
+    if (Found != Hosted_.end())
+      feed(*Found->second);
+  }
+}
+
 void PartitionHost::perform(Hosted &Target) {
   std::string Id = Target.Id_;
   int64_t Epoch = Target.Epoch_;
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -100,6 +100,7 @@
   void deleteOwner(const std::string &Id, int64_t Epoch,
                    std::function<void()> Done);
   void feed(Hosted &Target);
+  void feedAll();
   void perform(Hosted &Target);
   Hosted *find(const std::string &Id, int64_t Epoch);
   std::vector<platform::InstanceEntry>
