Tell finishes that nobody heard of from doubled ones

Cause: a worker that is cut off longer than its lease can finish a task before anyone hears of it; the task must run again and finishes again. Change: the stand-in notes whether the end was part of an answer; a second finish after a reported one stays a failure, the others are printed. Conclusion: the check is as strict as before for every end that was reported.

--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -272,6 +272,10 @@
               f"refused for lack of a slot {seen['slots_exceeded']}")
         for name, value in rows.items():
             print(f"  {'ok  ' if value == 0 else 'FAIL'} {name:<52}{value:>8}")
+        # Allowed: the worker was lost for longer than its lease before anyone heard of the end.
+        print("  finished on a lost worker and run again:", seen["finished_again_unreported"])
+        if seen["finished_twice"]:
+            print("  finished twice:", seen["finished_twice_tasks"])
         if unfinished:
             print("  unfinished:", unfinished[:10])
         failed = sum(value != 0 for value in rows.values())
--- a/standins/Observer.cpp
+++ b/standins/Observer.cpp
@@ -26,7 +26,14 @@
 void Observer::taskFinished(const std::string &Task,
                             const std::string &Worker) {
   RunningOn_[Task].erase(Worker);
-  ++Finished_[Task];
+  if (++Finished_[Task] > 1) {
+    // A worker that is lost for longer than its lease can finish a task that
+    // nobody hears of; the task must then run again.
+    auto &Target =
+        Reported_.count(Task) != 0 ? FinishedTwice_ : FinishedUnreported_;
+    Target.push_back(Task + " on " + FinishedOn_[Task] + " and " + Worker);
+  }
+  FinishedOn_[Task] = Worker;
 }
 
 void Observer::requestRan(const std::string &Key) { ++RequestRuns_[Key]; }
@@ -37,9 +44,6 @@
 }
 
 nlohmann::json Observer::report() const {
-  uint64_t FinishedTwice = 0;
-  for (const auto &[Task, Count] : Finished_)
-    FinishedTwice += Count > 1 ? 1 : 0;
   uint64_t RanTwice = 0;
   for (const auto &[Key, Count] : RequestRuns_)
     RanTwice += Count > 1 ? 1 : 0;
@@ -49,7 +53,9 @@
   return {{"starts", Starts_.size()},
           {"running", Running},
           {"finished", Finished_.size()},
-          {"finished_twice", FinishedTwice},
+          {"finished_twice", FinishedTwice_.size()},
+          {"finished_twice_tasks", FinishedTwice_},
+          {"finished_again_unreported", FinishedUnreported_},
           {"two_places", TwoPlaces_},
           {"capacity_exceeded", CapacityExceeded_},
           {"slots_exceeded", SlotsExceeded_},
--- a/standins/Observer.h
+++ b/standins/Observer.h
@@ -19,6 +19,8 @@
   void taskStopped(const std::string &Task, const std::string &Worker,
                    int64_t CheckpointMs);
   void taskFinished(const std::string &Task, const std::string &Worker);
+  //! The end of a finished task was part of an answer to its owner.
+  void finishReported(const std::string &Task) { Reported_.insert(Task); }
   void capacityExceeded() { ++CapacityExceeded_; }
   void slotsExceeded() { ++SlotsExceeded_; }
   void requestRan(const std::string &Key);
@@ -40,6 +42,11 @@
   std::map<std::string, std::set<std::string>> RunningOn_;
   std::map<std::string, int64_t> LastCheckpoint_;
   std::map<std::string, uint32_t> Finished_;
+  std::set<std::string> Reported_;
+  //! Tasks that finished again, with the workers of both ends.
+  std::vector<std::string> FinishedTwice_;
+  std::vector<std::string> FinishedUnreported_;
+  std::map<std::string, std::string> FinishedOn_;
   std::map<std::string, uint32_t> RequestRuns_;
   std::vector<Start> Starts_;
   uint64_t TwoPlaces_ = 0;
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -77,6 +77,10 @@
     Reply.HasReport_ = Message.WantReport_;
     for (const auto &[Key, Each] : Attempts_)
       Reply.Attempts_.push_back(report(Each));
+    for (const platform::AttemptReport &Each : Reply.Attempts_)
+      if (Message.WantReport_ &&
+          Each.State_ == platform::AttemptState::Finished)
+        Watch_.finishReported(Each.Task_);
     Reply.Changed_ = !Message.WantReport_ &&
                      platform::hasChanged(LastReport_, Reply.Attempts_);
     if (!Message.WantReport_)
