Ask about urgent tasks at their expected end

Cause: a running task was asked about at most every 2 s, so a check of 0.5 s held its room, and its finish was unknown, for up to 2 s more.

A task past its declared work is asked again after a quarter of its run time instead of a fixed delay.

--- a/src/partition/internal/Reports.cpp
+++ b/src/partition/internal/Reports.cpp
@@ -15,7 +15,6 @@
 constexpr int64_t UsageIntervalMs = 60'000;
 //! A checkpoint that takes longer ends with a plain stop.
 constexpr base::Duration CheckpointLimit = std::chrono::minutes(2);
-constexpr base::Duration ShortestPoll = std::chrono::seconds(2);
 
 bool isOver(AttemptState State) {
   return State == AttemptState::Finished || State == AttemptState::Failed ||
@@ -211,12 +210,10 @@
     // Declared run times are far off; the progress gives a better guess, and
     // without it the delay grows with the time already run.
     int64_t Left = Report.RunMillis_ / 4;
-    if (Report.ProgressPercent_ > 0)
-      Left = Report.RunMillis_ * std::max(0, 100 - Report.ProgressPercent_) /
+    if (Report.ProgressPercent_ > 0 && Report.ProgressPercent_ < 100)
+      Left = Report.RunMillis_ * (100 - Report.ProgressPercent_) /
              Report.ProgressPercent_;
-    Task.ExpectedEnd_ =
-        Now +
-        std::max<base::Duration>(ShortestPoll, std::chrono::milliseconds(Left));
+    Task.ExpectedEnd_ = Now + std::chrono::milliseconds(Left);
   }
   bool NewCheckpoint =
       !Report.Checkpoint_.empty() && Report.Checkpoint_ != Record.Checkpoint_;
--- a/src/partition/internal/Workers.cpp
+++ b/src/partition/internal/Workers.cpp
@@ -247,8 +247,10 @@
   base::TimePoint At = base::TimePoint::max();
   for (TaskNumber Number : Worker.Active_) {
     LiveTask &Task = Tasks_.at(Number);
+    bool Urgent = jobOf(Task).Spec_.Urgent_;
     if (record(Task).State_ == TaskState::Running)
-      At = std::min(At, std::max(Task.ExpectedEnd_, Now + PollEnding));
+      At = std::min(At, std::max(Task.ExpectedEnd_,
+                                 Now + (Urgent ? PollForUrgent : PollEnding)));
     else
       At = std::min(At,
                     Now + (Task.UrgentWaits_ ? PollForUrgent : PollChanging));
--- a/tests/partition/Lifecycle.tests.cpp
+++ b/tests/partition/Lifecycle.tests.cpp
@@ -223,3 +223,15 @@
   CHECK(W.Oracle_.Starts_ == 2);
   CHECK(W.Oracle_.text() == "");
 }
+
+// Guards against capacity that a finished urgent task holds until a question
+// that comes 2 s later.
+TEST_CASE("the end of a short urgent task is seen soon") {
+  World W(33, 1);
+  W.run(2000);
+  JobSpec Job = urgentJob("u");
+  Job.RunTimeMs_ = 500;
+  W.submit(Job);
+  W.run(1200);
+  CHECK(W.current()->job("u")->State_ == JobState::Finished);
+}
