Ask the executor for the answer of a key that is in progress

Change: when another instance executes the key, its kept answer is fetched before the repeat is refused.

--- a/src/app/RequestClaims.cpp
+++ b/src/app/RequestClaims.cpp
@@ -71,7 +71,14 @@
       route(*Target);
     return;
   }
-  if (Reply.Verdict_ == route::ClaimVerdict::AlreadyRan) {
+  // The report of the end may be behind the caller's repetition: the executor
+  // knows.
+  bool Elsewhere = Reply.Verdict_ == route::ClaimVerdict::InProgress &&
+                   !Reply.Executor_.empty() &&
+                   Reply.Executor_ != Shared_.Settings_.InstanceId_;
+  if (Elsewhere)
+    Target->Replay_ = route::ClaimVerdict::InProgress;
+  if (Elsewhere || Reply.Verdict_ == route::ClaimVerdict::AlreadyRan) {
     replay(*Target, Reply.Executor_);
     return;
   }
@@ -88,6 +95,12 @@
     Active *Waiting = find(Id);
     if (Waiting == nullptr)
       return;
+    if (Kept == nullptr &&
+        Waiting->Replay_ == route::ClaimVerdict::InProgress) {
+      refuse(*Waiting, base::ErrorKind::KeyInProgress, base::Outcome::Unknown,
+             "a request with this key is in progress");
+      return;
+    }
     if (Kept == nullptr) {
       refuse(*Waiting, base::ErrorKind::AlreadyRan, base::Outcome::Ran,
              "the request with this key ran; its answer is no longer kept");
--- a/src/app/internal/ActiveRequest.h
+++ b/src/app/internal/ActiveRequest.h
@@ -28,6 +28,8 @@
   std::string ClaimText_;
   bool ClaimHeld_ = false;
   bool CallerGone_ = false;
+  //! Why a kept answer is looked for.
+  route::ClaimVerdict Replay_ = route::ClaimVerdict::AlreadyRan;
   base::TimePoint Started_;
   std::map<uint32_t, Attempt> Attempts_;
   //! Attempt whose answer is being streamed to the caller; 0 for none.
--- a/tests/app/RequestPath.tests.cpp
+++ b/tests/app/RequestPath.tests.cpp
@@ -1,5 +1,6 @@
 #include "app/RequestPath.h"
 #include "Parts.h"
+#include "base/Hash.h"
 #include "support/LoopFakes.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -84,6 +85,7 @@
   RawServer Upstream_;
   config::Configuration Configuration_;
   std::string Owner_ = "a";
+  std::optional<http::Response> PeerAnswer_;
   std::unique_ptr<http::Client> Client_ = http::makeClient(Loop_, 0);
   app::ClaimService Claims_{
       Shared_,
@@ -94,9 +96,9 @@
       *Client_,
       Claims_,
       {[this]() -> const config::Configuration & { return Configuration_; },
-       [](const std::string &, const std::string &,
-          const std::function<void(const http::Response *)> &Done) {
-         Done(nullptr);
+       [this](const std::string &, const std::string &,
+              const std::function<void(const http::Response *)> &Done) {
+         Done(PeerAnswer_ ? &*PeerAnswer_ : nullptr);
        },
        {}}};
   unsigned KeysMade_ = 0;
@@ -166,6 +168,21 @@
   CHECK(World.Upstream_.Requests_.size() == 1);
 }
 
+TEST_CASE("A repeated key gets its answer before the report of the end has "
+          "arrived") {
+  PathWorld World({{okAnswer("twice")}});
+  std::string Key = World.key();
+  World.Claims_.received(
+      "b", link::ClaimRequest{1, "d-0", Key,
+                              base::stableHash("POST /r/visits/book\n")});
+  auto Early = World.call("POST", Key);
+  CHECK(Early->header("Crocuslead-Error") == "key-in-progress");
+  World.PeerAnswer_ = http::Response{200, {}, "booked"};
+  auto Again = World.call("POST", Key);
+  CHECK(Again->Answer_.Body_ == "booked");
+  CHECK(World.Upstream_.Requests_.empty());
+}
+
 TEST_CASE("A key whose caller left during the claim does not run later") {
   PathWorld World({{okAnswer("booked")}});
   std::string Key = World.key();
