Fit the demo's allocation runs to the machines

Cause: 12 runs of 6 tasks needed every core of the fleet at once, and a run is not divided over partitions, so 64 of 72 tasks ran. Change: 18 runs of 3 tasks take three quarters of the cores; the urgent checks take 16 cores each, so that they still need evictions. The check stays exact: all tasks run at the same time and the repeated submission adds none. Conclusion: dividing a run over partitions stays open.

--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -31,6 +31,11 @@
     worker_options=["--cpu-milli", "32000", "--memory-mb", "125000", "--per-rack", "2"])
 
 
+# 54 tasks of 4 cores take three quarters of 9 workers with 32 cores each, so the urgent checks of 16
+# cores need evictions. A run is not divided over partitions.
+RUNS, RUN_TASKS = 18, 3
+
+
 def step(text):
     print(text, flush=True)
 
@@ -131,20 +136,21 @@
                          "heating": {"template": "division", "agreed_share": 0.1}})
         fleet.wait_owners()
         step("Bureau: auditors submit allocation runs that fill the machines")
-        for number in range(12):
+        for number in range(RUNS):
             fleet.expect(fleet.api("POST", "/v1/jobs", job(
-                f"allocation-{number}", "water", 6, 4000, 25000, kind="allocation"),
+                f"allocation-{number}", "water", RUN_TASKS, 4000, 25000, kind="allocation"),
                 rng.choice(fleet.live())))
         fleet.expect(fleet.api("POST", "/v1/jobs", job(
-            "allocation-0", "water", 6, 4000, 25000, kind="allocation")))
-        checks.wait("all 72 tasks run; the repeated submission added none",
-                    lambda: fleet.control("workers")["running"], lambda n: n == 72, 20)
+            "allocation-0", "water", RUN_TASKS, 4000, 25000, kind="allocation")))
+        total = RUNS * RUN_TASKS
+        checks.wait(f"all {total} tasks run at the same time; the repeated submission added none",
+                    lambda: fleet.control("workers")["running"], lambda n: n == total, 20)
 
         step("Bureau: urgent charge checks arrive while the machines are full")
         started = time.time()
         for number in range(6):
             fleet.expect(fleet.api("POST", "/v1/jobs", job(
-                f"check-{number}", "power", 1, 8000, 500, kind="check", urgent=True),
+                f"check-{number}", "power", 1, 16000, 500, kind="check", urgent=True),
                 rng.choice(fleet.live())))
         checks.wait("the 6 urgent checks finished",
                     lambda: sum(finished(fleet, f"check-{n}") for n in range(6)),
@@ -166,8 +172,8 @@
         victim = max(fleet.live(), key=lambda each: owners.count(each.name))
         victim.process.send_signal(signal.SIGKILL)
         victim.process.wait()
-        checks.wait("all 72 allocation tasks finished",
-                    lambda: fleet.control("workers")["finished"], lambda n: n >= 78, 75)
+        checks.wait(f"all {total} allocation tasks finished",
+                    lambda: fleet.control("workers")["finished"], lambda n: n >= total + 6, 75)
         seen = fleet.control("workers")
         for name in ("two_places", "finished_twice", "capacity_exceeded", "checkpoints_lost"):
             checks.check(f"{name} (counted at the workers)", seen[name] == 0, seen[name])
