--- /dev/null
+++ b/tests/schedule/Workers.tests.cpp
@@ -0,0 +1,132 @@
+#include "Fixtures.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace crocuslead::schedule;
+using namespace crocuslead::schedule::testing;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t Many = 1000;
+
+std::vector<Decision> starts(Planner &Plan, crocuslead::base::TimePoint Now) {
+  return only(Plan.plan(Now, Many), DecisionKind::Start);
+}
+
+std::vector<Decision> evictions(Planner &Plan,
+                                crocuslead::base::TimePoint Now) {
+  return only(Plan.plan(Now, Many), DecisionKind::Evict);
+}
+
+} // namespace
+
+TEST_CASE("a leaving worker is emptied and an unreachable one keeps tasks") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1));
+  Plan.upsertWorker(worker(2));
+  Plan.occupy({batch(1), 1, Start, Start});
+  Plan.occupy({batch(2), 2, Start, Start});
+  auto Info = worker(1);
+  Info.Schedulable_ = false;
+  Plan.upsertWorker(Info);
+  CHECK(Plan.plan(Start, Many).empty());
+  Info.Leaving_ = true;
+  Plan.upsertWorker(Info);
+  auto Made = evictions(Plan, Start);
+  REQUIRE(Made.size() == 1);
+  CHECK(Made[0].Reason_ == Reason::WorkerLeaving);
+}
+
+TEST_CASE("a worker that fails every start is quarantined and probed") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1));
+  for (JobNumber Job : {5, 5, 5})
+    Plan.reportStart(1, Job, false, Start);
+  Plan.addPending(batch(1));
+  CHECK(starts(Plan, Start).size() == 1); // One job does not condemn a worker.
+  Plan.release(1);
+  Plan.reportStart(1, 6, false, Start);
+  for (TaskNumber I = 2; I <= 4; ++I)
+    Plan.addPending(batch(I));
+  CHECK(Plan.plan(Start + seconds(29), Many).empty());
+  CHECK(Plan.whyPending(2) == Reason::WorkerSetAside);
+  CHECK(starts(Plan, Start + seconds(30)).size() == 1);
+  CHECK(Plan.plan(Start + seconds(31), Many).empty());
+  Plan.reportStart(1, 2, false, Start + seconds(31));
+  Plan.release(2);
+  CHECK(Plan.plan(Start + seconds(90), Many).empty());
+  CHECK(starts(Plan, Start + seconds(91)).size() == 1);
+  Plan.reportStart(1, 3, true, Start + seconds(92));
+  CHECK(starts(Plan, Start + seconds(93)).size() == 1);
+}
+
+// Guards against a replaced worker staying quarantined without a probe.
+TEST_CASE("a worker that was removed with tasks returns from quarantine") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1));
+  Plan.occupy({batch(1), 1, Start, Start});
+  for (JobNumber Job : {5, 6, 7})
+    Plan.reportStart(1, Job, false, Start);
+  Plan.removeWorker(1);
+  Plan.upsertWorker(worker(1));
+  Plan.addPending(urgent(2));
+  CHECK(starts(Plan, Start).size() == 1);
+}
+
+// Guards against a crash or a leak of room in recovery after a takeover.
+TEST_CASE("a task may be known before its worker") {
+  Planner Plan;
+  Plan.occupy({batch(1, 6000), 1, Start, Start});
+  Plan.addPending(batch(2, 3000));
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.upsertWorker(worker(1, 8000));
+  CHECK(Plan.committed(1).MilliCpu_ == 6000);
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.release(1);
+  CHECK(starts(Plan, Start).size() == 1);
+}
+
+TEST_CASE("jobs that fail everywhere do not count against workers") {
+  Planner Plan;
+  for (WorkerNumber I = 1; I <= 4; ++I)
+    Plan.upsertWorker(worker(I));
+  for (JobNumber Job : {5, 6})
+    for (WorkerNumber I = 1; I <= 4; ++I)
+      Plan.reportStart(I, Job, false, Start);
+  Plan.reportStart(1, 5, false, Start);
+  Plan.reportStart(1, 6, false, Start);
+  for (TaskNumber I = 1; I <= 32; ++I)
+    Plan.addPending(batch(I));
+  CHECK(starts(Plan, Start).size() == 32);
+}
+
+// Guards against a cancelled task's promised room staying locked.
+TEST_CASE("room reserved for a cancelled task is used by others") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 1000));
+  Plan.occupy({batch(1), 1, Start, Start});
+  Plan.addPending(urgent(2));
+  CHECK(evictions(Plan, Start).size() == 1);
+  Plan.removePending(2);
+  Plan.addPending(urgent(3));
+  CHECK(evictions(Plan, Start + milliseconds(100)).empty());
+  Plan.release(1);
+  CHECK(starts(Plan, Start + milliseconds(200)).size() == 1);
+}
+
+TEST_CASE("a task added while it still occupies a worker waits for release") {
+  Planner Plan;
+  Plan.upsertWorker(worker(1, 8000));
+  Plan.occupy({batch(1), 1, Start, Start});
+  Plan.addPending(batch(1));
+  CHECK(Plan.pendingCount() == 0);
+  CHECK(Plan.plan(Start, Many).empty());
+  Plan.release(1);
+  CHECK(starts(Plan, Start).size() == 1);
+}
