Delay claims in the first term of a partition by a store lease

Cause: when failure domains are added, some keys change their home; an instance that is cut off with the former list and a valid lease could grant a key there while the new home grants it too (found by review). Change: the first term of a partition knows keys only from its start plus a store lease on. Conclusion: at most one home grants a key through changes of the domain list.

--- a/src/app/ClaimService.cpp
+++ b/src/app/ClaimService.cpp
@@ -204,8 +204,13 @@
 void ClaimService::partitionAcquired(const std::string &Partition,
                                      int64_t PriorEpoch) {
   Tables_.erase(Partition);
-  auto Added =
-      Tables_.try_emplace(Partition, Shared_.Clock_.wallNow(), PriorEpoch);
+  base::WallTime Start = Shared_.Clock_.wallNow();
+  // Before the first term of a partition its keys had another home. An instance
+  // that is cut off with the former list of partitions may grant them there
+  // until its store lease has ended.
+  if (PriorEpoch == 0)
+    Start += std::chrono::seconds(Shared_.Settings_.StoreLeaseSeconds_);
+  auto Added = Tables_.try_emplace(Partition, Start, PriorEpoch);
   takeHandedTable(Partition, Added.first->second);
 }
 
--- a/tests/app/ClaimService.tests.cpp
+++ b/tests/app/ClaimService.tests.cpp
@@ -72,6 +72,22 @@
 
 } // namespace
 
+// Guards against two homes of one key while an instance with the former list of
+// partitions still holds its lease.
+TEST_CASE("the first term of a partition grants no key of a former home") {
+  ClaimWorld World({"a"});
+  World.Epoch_ = 0;
+  World.acquire("a");
+  World.run(std::chrono::seconds(15));
+  std::string Early = World.key();
+  World.claim("a", Early);
+  CHECK(World.Grants_[Early] == 0);
+  World.run(std::chrono::seconds(7));
+  std::string Fresh = World.key();
+  World.claim("a", Fresh);
+  CHECK(World.Grants_[Fresh] == 1);
+}
+
 TEST_CASE("A key is granted at most once over lost messages, owner changes, "
           "handovers and restarts") {
   std::size_t Granted = 0;
