--- a/src/app/OperatorJobs.cpp
+++ b/src/app/OperatorJobs.cpp
@@ -29,8 +29,11 @@
   std::vector<std::string> Out{JobId};
   if (JobId.find(DomainSeparator) != std::string::npos)
     return Out;
-  for (const auto &[Name, Domain] : Session_.config().configuration().Domains_)
-    Out.push_back(JobId + DomainSeparator + Name);
+  for (const auto &[Name, Domain] :
+       Session_.config().configuration().Domains_) {
+    Out.push_back(JobId);
+    Out.back().append(1, DomainSeparator).append(Name);
+  }
   return Out;
 }
 
--- a/src/app/PartitionCalls.cpp
+++ b/src/app/PartitionCalls.cpp
@@ -147,7 +147,7 @@
 
 void PartitionCalls::callAll(
     const std::string &Operation, const std::string &Body,
-    std::function<void(std::map<std::string, CallAnswer>)> Done) {
+    const std::function<void(std::map<std::string, CallAnswer>)> &Done) {
   struct Gathered {
     std::map<std::string, CallAnswer> Answers_;
     std::size_t Missing_ = 0;
--- a/src/app/PartitionCalls.h
+++ b/src/app/PartitionCalls.h
@@ -42,8 +42,9 @@
   void callInstance(const std::string &Instance, const std::string &Operation,
                     const std::string &Body, Callback Done);
   //! Calls every partition; Done gets the answers by partition.
-  void callAll(const std::string &Operation, const std::string &Body,
-               std::function<void(std::map<std::string, CallAnswer>)> Done);
+  void
+  callAll(const std::string &Operation, const std::string &Body,
+          const std::function<void(std::map<std::string, CallAnswer>)> &Done);
 
   void received(const std::string &Peer, const link::OperatorCall &Message);
   void received(const link::OperatorReply &Message);
