Check in the fault run that no usage is lost

Cause: the run checked doubled usage only, and an incomplete settlement passed. Change: settled usage may lack 4 core-ms for each attempt, the rounding of its counter; an answer with partitions missing fails both checks. Conclusion: usage is checked in both directions.

--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -266,6 +266,7 @@
             "operators' updates lost": self.lost_updates,
             "jobs lost": len(unfinished),
             "usage counted twice (core-ms above what ran)": self.usage_excess(seen),
+            "usage lost (core-ms below what ran)": self.usage_lost(seen),
         }
         print(f"\nload: {self.load.counts}, jobs {len(self.load.jobs)}, "
               f"task starts {seen['starts']}, resumed {seen['resumed']}, "
@@ -282,10 +283,22 @@
         print(f"{len(rows) - failed} passed, {failed} failed ({time.time() - self.begun:.0f} s)")
         return failed
 
+    def usage_lost(self, seen):
+        """Settled usage with its estimated part may not be less than what the workers ran.
+
+        A worker reports whole milliseconds of run time, so each attempt of at most 4 cores may lack
+        4 core-ms.
+        """
+        status, body = self.fleet.api("GET", "/v1/settlement")
+        if status != 200 or body["partitions_missing"]:
+            return -1
+        settled = sum(row["used_cpu_ms"] for row in body["rows"])
+        return max(0, seen["cpu_ms"] - settled - 4 * seen["starts"])
+
     def usage_excess(self, seen):
         """Settled usage without its estimated part may not exceed what the workers ran."""
         status, body = self.fleet.api("GET", "/v1/settlement")
-        if status != 200:
+        if status != 200 or body["partitions_missing"]:
             return -1
         settled = sum(row["used_cpu_ms"] - row["estimated_cpu_ms"] for row in body["rows"])
         print(f"\nusage: settled {settled} core-ms, ran {seen['cpu_ms']} core-ms, estimated "
