Remove an error kind that nothing gives

Cause: shutting-down is never answered: a draining instance serves what arrives. Change: the kind and its row are gone; a comment of the routing bench speaks of domains.

--- a/bench/RouteSim.cpp
+++ b/bench/RouteSim.cpp
@@ -64,7 +64,8 @@
   return base::TimePoint(std::chrono::hours(1)) + base::Duration(Now_);
 }
 
-// The guild's three failure domains; one router alone has them in one region.
+// Three failure domains in two regions; one router alone has them in one
+// region.
 int RouteSim::domainOf(int Router) const {
   constexpr int Order[] = {0, 1, 2, 0, 1, 2, 0, 1};
   return Order[Router % 8];
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -36,7 +36,6 @@
      true},
     {ErrorKind::NotOwner, "not-owner", 503, Outcome::NotRun, true},
     {ErrorKind::ConfigStale, "config-stale", 503, Outcome::NotRun, true},
-    {ErrorKind::ShuttingDown, "shutting-down", 503, Outcome::NotRun, true},
     {ErrorKind::Infeasible, "infeasible", 422, Outcome::NotRun, false},
     {ErrorKind::LinkFailed, "link-failed", 503, Outcome::Unknown, false},
     {ErrorKind::Internal, "internal", 500, Outcome::Unknown, false},
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -34,7 +34,6 @@
   StoreUnavailable,
   NotOwner,
   ConfigStale,
-  ShuttingDown,
   Infeasible,
   LinkFailed,
   Internal,
