--- a/bench/PartitionFigures.cpp
+++ b/bench/PartitionFigures.cpp
@@ -2,7 +2,7 @@
 #include "PartitionRig.h"
 
 #include "base/Random.h"
-#include "platform/WorkerCodec.h"
+#include "cluster/WorkerCodec.h"
 
 #include <algorithm>
 #include <chrono>
@@ -180,8 +180,8 @@
   auto Rig = filled(WorkersEach, 810);
   for (int I = 0; I < 20 * 40; ++I)
     Rig->step();
-  auto Request = platform::encodeRequest(Rig->LastRequest_).size();
-  auto Reply = platform::encodeReply(Rig->LastReply_).size();
+  auto Request = cluster::encodeRequest(Rig->LastRequest_).size();
+  auto Reply = cluster::encodeReply(Rig->LastReply_).size();
   auto Tasks = static_cast<double>(Rig->LastReply_.Attempts_.size());
   emit({"partition.renewal_tasks", Tasks, "tasks", {}, Better::Higher, {}, {}});
   emit({"partition.full_report_bytes",
--- a/bench/PartitionRig.cpp
+++ b/bench/PartitionRig.cpp
@@ -5,9 +5,9 @@
 
 namespace crocuslead::bench {
 
+using cluster::AttemptState;
+using cluster::CommandKind;
 using partition::CommitStatus;
-using platform::AttemptState;
-using platform::CommandKind;
 
 namespace {
 
@@ -32,9 +32,9 @@
   Data_[Prefix + "owner"] = {Prefix + "owner", "x", 100, 100, 1};
   (void)Partition_.recover({}, now(), wall());
   configure(Partition_);
-  std::vector<platform::InstanceEntry> Entries;
+  std::vector<cluster::InstanceEntry> Entries;
   for (int I = 0; I < Workers; ++I) {
-    platform::InstanceEntry Entry;
+    cluster::InstanceEntry Entry;
     Entry.Id_ = "worker-" + std::to_string(I);
     Entry.AgentAddress_ = Entry.Id_;
     Entry.Domain_ = "ibadan";
@@ -109,7 +109,7 @@
   NowMs_ += StepMs;
   for (auto &[Id, One] : Workers_)
     for (auto &[Key, Task] : One.Attempts_) {
-      platform::AttemptReport &Report = Task.Report_;
+      cluster::AttemptReport &Report = Task.Report_;
       if (!isLive(Report.State_))
         continue;
       Report.CpuMillis_ += StepMs;
@@ -178,7 +178,7 @@
           .count();
 }
 
-void PartitionRig::run(Worker &Of, const platform::WorkerCommand &Command) {
+void PartitionRig::run(Worker &Of, const cluster::WorkerCommand &Command) {
   std::string Key = keyOf(Command.Task_, Command.Attempt_);
   if (Command.Kind_ == CommandKind::Start) {
     Attempt &New = Of.Attempts_[Key];
@@ -213,8 +213,8 @@
 
 void PartitionRig::answer(const partition::WorkerAction &Message) {
   Worker &To = Workers_[Message.Request_.Worker_];
-  platform::WorkerReply Reply;
-  for (const platform::WorkerCommand &Command : Message.Request_.Commands_) {
+  cluster::WorkerReply Reply;
+  for (const cluster::WorkerCommand &Command : Message.Request_.Commands_) {
     run(To, Command);
     Reply.Commands_.emplace_back();
   }
--- a/bench/PartitionRig.h
+++ b/bench/PartitionRig.h
@@ -15,7 +15,7 @@
 class PartitionRig {
 public:
   struct Attempt {
-    platform::AttemptReport Report_;
+    cluster::AttemptReport Report_;
     int64_t EndMs_ = 0;
     int64_t StopMs_ = 0;
   };
@@ -52,8 +52,8 @@
   double WorkMillis_ = 0;
   double CpuSeconds_ = 0;
   //! Requests and replies of the last renewal that carried no command.
-  platform::WorkerRequest LastRequest_;
-  platform::WorkerReply LastReply_;
+  cluster::WorkerRequest LastRequest_;
+  cluster::WorkerReply LastReply_;
   std::map<std::string, int64_t> SubmittedMs_;
   std::vector<double> UrgentDelaysMs_;
 
@@ -61,7 +61,7 @@
   void perform(const partition::Action &Value);
   void commit(const partition::CommitAction &Commit);
   void answer(const partition::WorkerAction &Message);
-  void run(Worker &Of, const platform::WorkerCommand &Command);
+  void run(Worker &Of, const cluster::WorkerCommand &Command);
 
   config::DomainState Domain_ = config::DomainState::InService;
   std::deque<partition::Action> Actions_;
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -28,6 +28,7 @@
 
 Usage:
   crocuslead serve --config FILE
+  crocuslead entry
   crocuslead check-config FILE
   crocuslead template list [options]
   crocuslead template set NAME [PARAMETER...] [options]
@@ -52,6 +53,7 @@
 A PARAMETER is name=value, as in agreed_share=0.4 priority=10 deferrable=true;
 parameters that are not named keep their value. FILE holds a job as JSON, - stands
 for standard input. explain takes a job, a task (JOB/INDEX) or a request id.
+entry runs an entry instance with the settings that the platform hands out.
 
 Options:
   --config FILE      Settings of the instance, in YAML.
@@ -253,7 +255,7 @@
 
 } // namespace
 
-int runCommandLine(int Argc, char **Argv) {
+int runCommandLine(int Argc, char **Argv, const ServeMode &Entry) {
   Options Args;
   try {
     Args = docopt::docopt_parse(Usage, {Argv + 1, Argv + Argc}, true, true);
@@ -266,6 +268,8 @@
   } catch (const std::exception &) {
     return usageError("unknown command line; see crocuslead --help");
   }
+  if (Args.at(Entry.Word_).asBool())
+    return Entry.Run_();
   const docopt::value &Url = Args.at("--operator");
   OperatorClient Client(Url.isString() ? Url.asString()
                                        : environment("CROCUSLEAD_OPERATOR",
--- a/src/app/CommandLine.h
+++ b/src/app/CommandLine.h
@@ -13,7 +13,14 @@
   Unreachable = 3,
 };
 
+//! A way to run an instance that is not part of this module.
+struct ServeMode {
+  //! Command word; the usage text names it.
+  const char *Word_;
+  int (*Run_)();
+};
+
 //! Runs the program; returns its exit code.
-int runCommandLine(int Argc, char **Argv);
+int runCommandLine(int Argc, char **Argv, const ServeMode &Entry);
 
 } // namespace crocuslead::app
--- a/src/app/ControlTraffic.cpp
+++ b/src/app/ControlTraffic.cpp
@@ -27,7 +27,7 @@
   for (std::size_t I = 0; I < store::CallKindCount; ++I)
     Out.push_back(
         storeRow(static_cast<store::CallKind>(I), Traffic.Store_->Kinds_[I]));
-  const platform::GatewayCounters &Workers = *Traffic.Workers_;
+  const cluster::GatewayCounters &Workers = *Traffic.Workers_;
   Out.push_back(
       {"workers", Workers.RenewalBytes_,
        Workers.BytesSent_ + Workers.BytesReceived_ - Workers.RenewalBytes_,
--- a/src/app/ControlTraffic.h
+++ b/src/app/ControlTraffic.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "cluster/HttpInstanceList.h"
+#include "cluster/HttpWorkerGateway.h"
 #include "link/Link.h"
-#include "platform/HttpInstanceList.h"
-#include "platform/HttpWorkerGateway.h"
 #include "store/EtcdStore.h"
 
 #include <cstdint>
@@ -16,10 +16,10 @@
 struct ControlTraffic {
   std::shared_ptr<store::StoreCounters> Store_ =
       std::make_shared<store::StoreCounters>();
-  std::shared_ptr<platform::GatewayCounters> Workers_ =
-      std::make_shared<platform::GatewayCounters>();
-  std::shared_ptr<platform::ListCounters> List_ =
-      std::make_shared<platform::ListCounters>();
+  std::shared_ptr<cluster::GatewayCounters> Workers_ =
+      std::make_shared<cluster::GatewayCounters>();
+  std::shared_ptr<cluster::ListCounters> List_ =
+      std::make_shared<cluster::ListCounters>();
 };
 
 //! Bytes of one kind of traffic, sent and received, framing included: HTTP
--- a/src/app/Instance.cpp
+++ b/src/app/Instance.cpp
@@ -3,8 +3,8 @@
 #include "app/internal/InstanceTimer.h"
 #include "app/internal/PeerMessageHandler.h"
 #include "base/Log.h"
-#include "platform/HttpInstanceList.h"
-#include "platform/HttpWorkerGateway.h"
+#include "cluster/HttpInstanceList.h"
+#include "cluster/HttpWorkerGateway.h"
 #include "store/EtcdStore.h"
 
 #include <algorithm>
@@ -60,11 +60,11 @@
       ControlClient_(http::makeClient(Loop, ControlConnectionsPerHost)),
       Store_(store::makeEtcdStore(*ControlClient_, Loop, Settings.StoreUrl_,
                                   Traffic_.Store_)),
-      List_(platform::makeHttpInstanceList(
+      List_(cluster::makeHttpInstanceList(
           *ControlClient_, Loop, Settings.InstanceListUrl_,
           std::chrono::seconds(2), Traffic_.List_)),
-      Workers_(platform::makeHttpWorkerGateway(*ControlClient_, Loop, {},
-                                               Traffic_.Workers_)),
+      Workers_(cluster::makeHttpWorkerGateway(*ControlClient_, Loop, {},
+                                              Traffic_.Workers_)),
       Session_(Shared_, *Store_),
       Peers_(Shared_,
              [this](const std::string &Peer, link::Message Message) {
@@ -175,7 +175,7 @@
   FetchingInstances_ = true;
   List_->fetch(Instances_.Revision_, [this](const auto &Result) {
     FetchingInstances_ = false;
-    const auto *Snapshot = std::get_if<platform::InstanceSnapshot>(&Result);
+    const auto *Snapshot = std::get_if<cluster::InstanceSnapshot>(&Result);
     // An older list may come from a lagging replica; it must not undo a
     // leaving mark.
     if (Snapshot == nullptr || Snapshot->Revision_ <= Instances_.Revision_)
--- a/src/app/Instance.h
+++ b/src/app/Instance.h
@@ -11,8 +11,8 @@
 #include "app/RequestPath.h"
 #include "app/StoreSession.h"
 #include "base/Metrics.h"
+#include "cluster/InstanceList.h"
 #include "http/Client.h"
-#include "platform/InstanceList.h"
 
 #include <functional>
 #include <map>
@@ -74,8 +74,8 @@
   std::unique_ptr<http::Client> RequestClient_;
   std::unique_ptr<http::Client> ControlClient_;
   std::unique_ptr<store::KeyValueStore> Store_;
-  std::unique_ptr<platform::InstanceList> List_;
-  std::unique_ptr<platform::WorkerGateway> Workers_;
+  std::unique_ptr<cluster::InstanceList> List_;
+  std::unique_ptr<cluster::WorkerGateway> Workers_;
   StoreSession Session_;
   OwnershipProof Proof_;
   PeerHub Peers_;
@@ -87,7 +87,7 @@
   std::unique_ptr<http::Server> CallerServer_;
   std::unique_ptr<http::Server> OperatorServer_;
   std::vector<std::unique_ptr<Timer>> Timers_;
-  platform::InstanceSnapshot Instances_;
+  cluster::InstanceSnapshot Instances_;
   bool FetchingInstances_ = false;
   bool InstancesLoaded_ = false;
   struct AnswerCall {
--- a/src/app/Main.cpp
+++ /dev/null
@@ -1,5 +0,0 @@
-#include "app/CommandLine.h"
-
-int main(int Argc, char **Argv) {
-  return crocuslead::app::runCommandLine(Argc, Argv);
-}
--- a/src/app/PartitionHost.cpp
+++ b/src/app/PartitionHost.cpp
@@ -57,7 +57,7 @@
 }
 
 PartitionHost::PartitionHost(const Context &Shared, StoreSession &Session,
-                             platform::WorkerGateway &Workers,
+                             cluster::WorkerGateway &Workers,
                              ClaimService &Claims, SendToPeer Send)
     : Shared_(Shared), Session_(Session), Workers_(Workers), Claims_(Claims),
       Send_(std::move(Send)) {}
@@ -116,7 +116,7 @@
     Ownership_->storeRegained(Shared_.Clock_.now());
 }
 
-void PartitionHost::setInstances(const platform::InstanceSnapshot &Snapshot) {
+void PartitionHost::setInstances(const cluster::InstanceSnapshot &Snapshot) {
   Instances_ = Snapshot;
   feedAll();
 }
@@ -309,10 +309,10 @@
   return Found->second.get();
 }
 
-std::vector<platform::InstanceEntry>
+std::vector<cluster::InstanceEntry>
 PartitionHost::workersOf(const std::string &Partition) const {
-  std::vector<platform::InstanceEntry> Out;
-  for (const platform::InstanceEntry &Entry : Instances_.Entries_)
+  std::vector<cluster::InstanceEntry> Out;
+  for (const cluster::InstanceEntry &Entry : Instances_.Entries_)
     if (!Entry.AgentAddress_.empty() &&
         partitionOfRack(Entry.Domain_, Entry.Rack_,
                         Shared_.Settings_.PartitionsPerDomain_) == Partition)
@@ -333,7 +333,7 @@
 void PartitionHost::feed(Hosted &Target) {
   base::TimePoint Now = Shared_.Clock_.now();
   base::Resources Fleet;
-  for (const platform::InstanceEntry &Entry : Instances_.Entries_)
+  for (const cluster::InstanceEntry &Entry : Instances_.Entries_)
     if (!Entry.AgentAddress_.empty())
       Fleet += Entry.Capacity_;
   Target.Partition_.configure(Session_.config().configuration(), Fleet, Now);
--- a/src/app/PartitionHost.h
+++ b/src/app/PartitionHost.h
@@ -3,11 +3,11 @@
 #include "app/ClaimService.h"
 #include "app/Context.h"
 #include "app/StoreSession.h"
+#include "cluster/InstanceList.h"
+#include "cluster/WorkerGateway.h"
 #include "link/Messages.h"
 #include "partition/Ownership.h"
 #include "partition/Partition.h"
-#include "platform/InstanceList.h"
-#include "platform/WorkerGateway.h"
 
 #include <functional>
 #include <map>
@@ -28,7 +28,7 @@
   using AnswerCallback = std::function<void(const partition::AnswerAction &)>;
 
   PartitionHost(const Context &Shared, StoreSession &Session,
-                platform::WorkerGateway &Workers, ClaimService &Claims,
+                cluster::WorkerGateway &Workers, ClaimService &Claims,
                 SendToPeer Send);
   ~PartitionHost();
   PartitionHost(const PartitionHost &) = delete;
@@ -41,7 +41,7 @@
   void leaseRenewed(base::TimePoint SentAt);
   void leaseLost();
   void storeRegained();
-  void setInstances(const platform::InstanceSnapshot &Snapshot);
+  void setInstances(const cluster::InstanceSnapshot &Snapshot);
   void setLive(std::vector<partition::LiveInstance> Live);
   void setPeerLoad(const std::string &Peer, const link::LoadSummary &Summary);
 
@@ -107,13 +107,13 @@
   void feedAll();
   void perform(Hosted &Target);
   Hosted *find(const std::string &Id, int64_t Epoch);
-  std::vector<platform::InstanceEntry>
+  std::vector<cluster::InstanceEntry>
   workersOf(const std::string &Partition) const;
   std::vector<partition::PartitionSummary> otherSummaries() const;
 
   const Context &Shared_;
   StoreSession &Session_;
-  platform::WorkerGateway &Workers_;
+  cluster::WorkerGateway &Workers_;
   ClaimService &Claims_;
   SendToPeer Send_;
   std::vector<partition::PartitionInfo> Partitions_;
@@ -122,7 +122,7 @@
   std::map<std::string, std::unique_ptr<Hosted>> Hosted_;
   std::set<std::string> Acquiring_;
   std::vector<std::pair<base::TimePoint, Acquisition>> Recoveries_;
-  platform::InstanceSnapshot Instances_;
+  cluster::InstanceSnapshot Instances_;
   std::map<std::string, partition::PartitionSummary> PeerLoad_;
   std::map<std::string, base::Resources> LastSentUse_;
   base::TimePoint NextSummaries_;
--- a/src/app/RequestPath.cpp
+++ b/src/app/RequestPath.cpp
@@ -331,14 +331,14 @@
   return Out;
 }
 
-void RequestPath::setInstances(const platform::InstanceSnapshot &Snapshot) {
+void RequestPath::setInstances(const cluster::InstanceSnapshot &Snapshot) {
   std::vector<route::UpstreamInfo> Upstreams;
-  for (const platform::InstanceEntry &Entry : Snapshot.Entries_)
+  for (const cluster::InstanceEntry &Entry : Snapshot.Entries_)
     if (!Entry.UpstreamAddress_.empty())
       Upstreams.push_back({Entry.Id_, Entry.UpstreamAddress_, Entry.Domain_,
                            Entry.Region_, Entry.Services_, Entry.Slots_,
                            Entry.Connections_,
-                           Entry.State_ == platform::InstanceState::Leaving});
+                           Entry.State_ == cluster::InstanceState::Leaving});
   Router_.setUpstreams(std::move(Upstreams), Shared_.Clock_.now());
   pump();
 }
--- a/src/app/RequestPath.h
+++ b/src/app/RequestPath.h
@@ -4,11 +4,11 @@
 #include "app/ClaimService.h"
 #include "app/Context.h"
 #include "app/RequestLog.h"
+#include "cluster/InstanceList.h"
 #include "config/Model.h"
 #include "http/Client.h"
 #include "http/Server.h"
 #include "link/Messages.h"
-#include "platform/InstanceList.h"
 #include "route/Router.h"
 
 #include <functional>
@@ -44,7 +44,7 @@
   void handle(http::Request Request, std::shared_ptr<http::Responder> Out);
   //! Call about every 10 ms.
   void tick();
-  void setInstances(const platform::InstanceSnapshot &Snapshot);
+  void setInstances(const cluster::InstanceSnapshot &Snapshot);
   void configChanged();
   void setLive(std::vector<std::string> Live);
   //! From now on answers ask the caller to close its connection.
--- a/src/platform/Cbor.cpp
+++ b/src/cluster/Cbor.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/Cbor.h"
+#include "cluster/internal/Cbor.h"
 
 #include <limits>
 
-namespace crocuslead::platform::internal {
+namespace crocuslead::cluster::internal {
 
 namespace {
 
@@ -138,4 +138,4 @@
   }
 }
 
-} // namespace crocuslead::platform::internal
+} // namespace crocuslead::cluster::internal
--- a/src/platform/ExchangeError.cpp
+++ b/src/cluster/ExchangeError.cpp
@@ -1,6 +1,6 @@
-#include "platform/internal/ExchangeError.h"
+#include "cluster/internal/ExchangeError.h"
 
-namespace crocuslead::platform::internal {
+namespace crocuslead::cluster::internal {
 
 namespace {
 
@@ -30,4 +30,4 @@
   return {kindOf(Result.Failure_), Result.Detail_};
 }
 
-} // namespace crocuslead::platform::internal
+} // namespace crocuslead::cluster::internal
--- a/src/platform/HttpInstanceList.cpp
+++ b/src/cluster/HttpInstanceList.cpp
@@ -1,12 +1,12 @@
-#include "platform/HttpInstanceList.h"
+#include "cluster/HttpInstanceList.h"
 
+#include "cluster/internal/Deferred.h"
+#include "cluster/internal/ExchangeError.h"
 #include "http/Client.h"
-#include "platform/internal/Deferred.h"
-#include "platform/internal/ExchangeError.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 namespace {
 
@@ -94,4 +94,4 @@
                                             Timeout, std::move(Counters));
 }
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/HttpInstanceList.h
+++ b/src/cluster/HttpInstanceList.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
-#include "platform/InstanceList.h"
+#include "cluster/InstanceList.h"
 
 #include <memory>
 #include <string>
@@ -16,7 +16,7 @@
 class Client;
 }
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 std::string_view instanceStateName(InstanceState State);
 
@@ -40,4 +40,4 @@
                      base::Duration Timeout = std::chrono::seconds(2),
                      std::shared_ptr<ListCounters> Counters = nullptr);
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/HttpWorkerGateway.cpp
+++ b/src/cluster/HttpWorkerGateway.cpp
@@ -1,16 +1,16 @@
-#include "platform/HttpWorkerGateway.h"
+#include "cluster/HttpWorkerGateway.h"
 
+#include "cluster/ReportDelta.h"
+#include "cluster/WorkerCodec.h"
+#include "cluster/internal/Deferred.h"
+#include "cluster/internal/ExchangeError.h"
 #include "http/Client.h"
-#include "platform/ReportDelta.h"
-#include "platform/WorkerCodec.h"
-#include "platform/internal/Deferred.h"
-#include "platform/internal/ExchangeError.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <deque>
 #include <unordered_map>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 namespace {
 
@@ -174,4 +174,4 @@
                                              std::move(Counters));
 }
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/HttpWorkerGateway.h
+++ b/src/cluster/HttpWorkerGateway.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/WorkerGateway.h"
+#include "cluster/WorkerGateway.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,7 +15,7 @@
 class Client;
 }
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 struct GatewaySettings {
   base::Duration Timeout_ = std::chrono::seconds(2);
@@ -49,4 +49,4 @@
                       const GatewaySettings &Settings,
                       std::shared_ptr<GatewayCounters> Counters = nullptr);
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/InstanceDecoder.cpp
+++ b/src/cluster/InstanceDecoder.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpInstanceList.h"
+#include "cluster/HttpInstanceList.h"
 
 #include "base/NameTable.h"
 
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <unordered_set>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 namespace {
 
@@ -160,4 +160,4 @@
   }
 }
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/InstanceList.h
+++ b/src/cluster/InstanceList.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 enum class InstanceState : uint8_t { Live, Leaving };
 
@@ -53,4 +53,4 @@
   virtual void fetch(int64_t KnownRevision, Callback Done) = 0;
 };
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/ReportDelta.cpp
+++ b/src/cluster/ReportDelta.cpp
@@ -1,4 +1,4 @@
-#include "platform/ReportDelta.h"
+#include "cluster/ReportDelta.h"
 
 #include "base/Hash.h"
 
@@ -8,7 +8,7 @@
 #include <tuple>
 #include <utility>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 namespace {
 
@@ -125,4 +125,4 @@
   return true;
 }
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/ReportDelta.h
+++ b/src/cluster/ReportDelta.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/WorkerGateway.h"
+#include "cluster/WorkerGateway.h"
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 //! The last report that both sides of a worker channel may know. A reply can be
 //! given as differences to it.
@@ -35,4 +35,4 @@
 //! Without KnownReport_ in the request no reply is packed.
 bool unpackReply(WorkerReply &Reply, const ReportBase &Base);
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/WorkerCodec.cpp
+++ b/src/cluster/WorkerCodec.cpp
@@ -1,9 +1,9 @@
-#include "platform/WorkerCodec.h"
+#include "cluster/WorkerCodec.h"
 
 #include "base/NameTable.h"
-#include "platform/internal/FieldTable.h"
+#include "cluster/internal/FieldTable.h"
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 namespace internal {
 
@@ -185,4 +185,4 @@
   return internal::EnumNames<CommandStatus>::Table.name(Status);
 }
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/WorkerCodec.h
+++ b/src/cluster/WorkerCodec.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "base/Error.h"
-#include "platform/WorkerGateway.h"
+#include "cluster/WorkerGateway.h"
 
 #include <string>
 #include <string_view>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 // Messages between instances and workers: CBOR maps with integer field numbers.
 // Fields with their default value are left out; unknown fields are skipped, so
@@ -26,4 +26,4 @@
 std::string_view attemptStateName(AttemptState State);
 std::string_view commandStatusName(CommandStatus Status);
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/WorkerGateway.h
+++ b/src/cluster/WorkerGateway.h
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace crocuslead::platform {
+namespace crocuslead::cluster {
 
 enum class CommandKind : uint8_t {
   Start,
@@ -137,4 +137,4 @@
   virtual void send(WorkerRequest Request, Callback Done) = 0;
 };
 
-} // namespace crocuslead::platform
+} // namespace crocuslead::cluster
--- a/src/platform/internal/Cbor.h
+++ b/src/cluster/internal/Cbor.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace crocuslead::platform::internal {
+namespace crocuslead::cluster::internal {
 
 // The part of CBOR (RFC 8949) that worker messages need, with definite lengths
 // only. nlohmann-json can neither write nor read maps with integer keys, and
@@ -56,4 +56,4 @@
   std::string_view In_;
 };
 
-} // namespace crocuslead::platform::internal
+} // namespace crocuslead::cluster::internal
--- a/src/platform/internal/Deferred.h
+++ b/src/cluster/internal/Deferred.h
@@ -8,7 +8,7 @@
 
 #include <memory>
 
-namespace crocuslead::platform::internal {
+namespace crocuslead::cluster::internal {
 
 //! Reports an error from the event loop unless Alive has ended by then. Callers
 //! of send() and fetch() rely on not being called back from within.
@@ -28,4 +28,4 @@
   });
 }
 
-} // namespace crocuslead::platform::internal
+} // namespace crocuslead::cluster::internal
--- a/src/platform/internal/ExchangeError.h
+++ b/src/cluster/internal/ExchangeError.h
@@ -3,9 +3,9 @@
 #include "base/Error.h"
 #include "http/Client.h"
 
-namespace crocuslead::platform::internal {
+namespace crocuslead::cluster::internal {
 
 //! Error of an exchange that brought no complete answer.
 base::Error exchangeError(const http::ExchangeResult &Result);
 
-} // namespace crocuslead::platform::internal
+} // namespace crocuslead::cluster::internal
--- a/src/platform/internal/FieldTable.h
+++ b/src/cluster/internal/FieldTable.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/internal/Cbor.h"
+#include "cluster/internal/Cbor.h"
 
 #include <limits>
 #include <string>
 #include <type_traits>
 #include <vector>
 
-namespace crocuslead::platform::internal {
+namespace crocuslead::cluster::internal {
 
 //! Codec of one field of a message of type T.
 template <typename T> struct Field {
@@ -149,4 +149,4 @@
       [](CborReader &In, T &Into) { return readValue(In, Into.*Member); }};
 }
 
-} // namespace crocuslead::platform::internal
+} // namespace crocuslead::cluster::internal
--- /dev/null
+++ b/src/jobs/Coordinator.cpp
@@ -0,0 +1,123 @@
+#include "jobs/Coordinator.h"
+
+#include "jobs/internal/Impl.h"
+
+#include <algorithm>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// Stalls, copies, due occurrences and leases are checked this often.
+constexpr auto CheckInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+Coordinator::Impl::Impl(const CoordinatorSettings &Settings, WorkerPort &Port,
+                        const base::Clock &Clock,
+                        base::MetricsRegistry &Metrics, Commit OnCommit)
+    : Settings_(Settings), Port_(Port), Clock_(Clock), Metrics_(Metrics),
+      Commit_(std::move(OnCommit)) {}
+
+void Coordinator::Impl::tick() {
+  if (Superseded_)
+    return;
+  if (now() >= NextCheck_) {
+    NextCheck_ = now() + CheckInterval;
+    driveRuns();
+    checkRecovery();
+    placeCopies();
+    for (auto &[Id, Owner] : Jobs_)
+      if (Owner->Record_.Spec_.Repetitions_ > 0 && !isFinal(Owner->State_))
+        openOccurrences(*Owner);
+    PassWanted_ = PassWanted_ || !Ready_.empty();
+  }
+  if (PassWanted_)
+    place();
+  driveWorkers();
+  driveCommits();
+}
+
+CoordinatorView Coordinator::Impl::view() const {
+  CoordinatorView Out;
+  Out.Jobs_ = Jobs_.size();
+  Out.OpenJobs_ = static_cast<std::size_t>(
+      std::count_if(Jobs_.begin(), Jobs_.end(), [](const auto &Entry) {
+        return !isFinal(Entry.second->State_);
+      }));
+  Out.Workers_ = Workers_.size();
+  Out.ReachableWorkers_ = static_cast<std::size_t>(
+      std::count_if(WorkerOrder_.begin(), WorkerOrder_.end(),
+                    [this](const Worker *Each) { return reachable(*Each); }));
+  Out.Runs_ = Runs_.size();
+  Out.ReadySteps_ = Ready_.size();
+  Out.Recovering_ = Recovering_;
+  return Out;
+}
+
+Coordinator::Coordinator(const CoordinatorSettings &Settings, WorkerPort &Port,
+                         const base::Clock &Clock,
+                         base::MetricsRegistry &Metrics, Commit OnCommit)
+    : Impl_(std::make_shared<Impl>(Settings, Port, Clock, Metrics,
+                                   std::move(OnCommit))) {}
+
+Coordinator::~Coordinator() = default;
+
+void Coordinator::setConfig(const FleetConfig &Config) {
+  Impl_->Config_ = Config;
+  Impl_->retarget();
+}
+
+void Coordinator::setWorkers(const std::map<std::string, WorkerInfo> &Workers) {
+  Impl_->setWorkers(Workers);
+}
+
+void Coordinator::setDomainsOut(const std::set<std::string> &Domains) {
+  Impl_->DomainsOut_ = Domains;
+  Impl_->PassWanted_ = true;
+}
+
+void Coordinator::restoreJob(const std::string &Id, JobRecord Record,
+                             const std::optional<JobProgress> &Progress) {
+  Impl_->addJob(Id, std::move(Record), Progress, true);
+}
+
+void Coordinator::restoreUsedWorkers(const std::string &Record) {
+  Impl_->restoreUsedWorkers(Record);
+}
+
+void Coordinator::recover() { Impl_->recover(); }
+
+void Coordinator::addJob(const std::string &Id, JobRecord Record) {
+  Impl_->addJob(Id, std::move(Record), std::nullopt, false);
+}
+
+void Coordinator::cancelJob(const std::string &Id) { Impl_->cancelJob(Id); }
+
+void Coordinator::commitDone(uint64_t Number, CommitResult Result) {
+  Impl_->commitDone(Number, Result);
+}
+
+void Coordinator::tick() { Impl_->tick(); }
+
+void Coordinator::prepareHandover() { Impl_->prepareHandover(); }
+
+std::optional<JobState> Coordinator::state(const std::string &Id) const {
+  return Impl_->state(Id);
+}
+
+std::size_t Coordinator::waiting(const std::string &Queue) const {
+  return Impl_->waiting(Queue);
+}
+
+bool Coordinator::superseded() const { return Impl_->Superseded_; }
+
+bool Coordinator::settled() const { return Impl_->settled(); }
+
+CoordinatorView Coordinator::view() const { return Impl_->view(); }
+
+std::vector<std::string> Coordinator::takeExpired() {
+  return Impl_->takeExpired();
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/CoordinatorHost.cpp
@@ -0,0 +1,276 @@
+#include "jobs/CoordinatorHost.h"
+
+#include "base/Log.h"
+#include "jobs/JobKeys.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+constexpr auto ReadRetry = std::chrono::milliseconds(100);
+constexpr auto CleanupInterval = std::chrono::seconds(5);
+// Each expired job takes three removals; a transaction takes 32 entries.
+constexpr std::size_t JobsPerCleanup = 10;
+
+struct JobKey {
+  std::string Id_;
+  std::string Part_;
+};
+
+JobKey parseJobKey(const std::string &Key) {
+  std::string Rest = Key.substr(std::min(JobKeys::Jobs.size(), Key.size()));
+  std::size_t Slash = Rest.find('/');
+  if (Slash == std::string::npos)
+    return {};
+  return {Rest.substr(0, Slash), Rest.substr(Slash + 1)};
+}
+
+template <typename T, typename Decode>
+std::optional<T> decodeOrLog(const store::KeyValue &Value,
+                             const Decode &Function) {
+  std::optional<T> Out;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(Out, Function(Value.Value_));
+        return {};
+      },
+      [&](const base::Error &Failure) {
+        base::logEvent(base::LogLevel::Error, "stored-record-unreadable",
+                       {{"key", Value.Key_},
+                        {"revision", Value.ModRevision_},
+                        {"reason", Failure.Message_}});
+      },
+      [] {});
+  return Out;
+}
+
+} // namespace
+
+CoordinatorHost::CoordinatorHost(store::KeyValueStore &Store, WorkerPort &Port,
+                                 FleetSource &Source, const base::Clock &Clock,
+                                 base::MetricsRegistry &Metrics,
+                                 CoordinatorTimes Times)
+    : Store_(Store), Port_(Port), Source_(Source), Clock_(Clock),
+      Metrics_(Metrics), Times_(Times) {
+  Source_.setHooks({[this] {
+                      if (Restored_)
+                        Coordinator_->setConfig(Source_.config());
+                    },
+                    [this] {
+                      if (Restored_)
+                        Coordinator_->setDomainsOut(Source_.domainsOut());
+                    },
+                    [this] {
+                      if (Restored_)
+                        Coordinator_->setWorkers(Source_.workers());
+                    }});
+}
+
+CoordinatorHost::~CoordinatorHost() = default;
+
+Coordinator *CoordinatorHost::active() {
+  return Restored_ ? Coordinator_.get() : nullptr;
+}
+
+const Coordinator *CoordinatorHost::active() const {
+  return Restored_ ? Coordinator_.get() : nullptr;
+}
+
+void CoordinatorHost::begin(uint64_t Term) {
+  end();
+  BegunAt_ = Clock_.now();
+  Alive_ = std::make_shared<int>(0);
+  CoordinatorSettings Settings;
+  Settings.Term_ = Term;
+  Settings.Times_ = Times_;
+  Coordinator_ = std::make_unique<Coordinator>(
+      Settings, Port_, Clock_, Metrics_,
+      [this](CommitBatch Batch) { commit(std::move(Batch)); });
+  Source_.followWorkers(true);
+  Jobs_ = std::make_unique<store::Mirror>(
+      Store_, Clock_, std::string(JobKeys::Jobs),
+      store::Mirror::Hooks{
+          [this](const store::KeyValue &Value, bool Deleted) {
+            jobKeyChanged(Value, Deleted);
+          },
+          nullptr});
+  Jobs_->tick();
+}
+
+void CoordinatorHost::end() {
+  Restored_ = false;
+  ReadingProgress_ = false;
+  Alive_.reset();
+  Jobs_.reset();
+  Coordinator_.reset();
+  Source_.followWorkers(false);
+}
+
+void CoordinatorHost::resume() {
+  if (Jobs_)
+    Jobs_->reload();
+}
+
+void CoordinatorHost::prepareHandover() {
+  if (Restored_)
+    Coordinator_->prepareHandover();
+}
+
+void CoordinatorHost::tick() {
+  if (!Coordinator_)
+    return;
+  Jobs_->tick();
+  if (!Restored_) {
+    restoreWhenComplete();
+    return;
+  }
+  Coordinator_->tick();
+  if (Coordinator_->superseded())
+    Office_->superseded();
+  else if (Clock_.now() >= NextCleanup_)
+    removeExpired();
+}
+
+void CoordinatorHost::restoreWhenComplete() {
+  if (ReadingProgress_ || !Jobs_->loaded() || !Source_.configLoaded() ||
+      !Source_.workersLoaded() || Clock_.now() < RetryAt_)
+    return;
+  readProgress();
+}
+
+void CoordinatorHost::readProgress() {
+  ReadingProgress_ = true;
+  std::string Prefix(JobKeys::Work);
+  Store_.range(
+      Prefix, store::prefixEnd(Prefix),
+      [this, Weak = std::weak_ptr<int>(Alive_)](
+          const store::StoreResult<store::RangeReply> &Result) {
+        if (Weak.expired())
+          return;
+        ReadingProgress_ = false;
+        if (const auto *Reply = std::get_if<store::RangeReply>(&Result)) {
+          restoreAll(*Reply);
+          return;
+        }
+        RetryAt_ = Clock_.now() + ReadRetry;
+        base::logEvent(
+            base::LogLevel::Warn, "progress-read-failed",
+            {{"reason", std::get<store::StoreError>(Result).Message_}});
+      });
+}
+
+void CoordinatorHost::restoreAll(const store::RangeReply &Work) {
+  Coordinator_->setConfig(Source_.config());
+  Coordinator_->setDomainsOut(Source_.domainsOut());
+  Coordinator_->setWorkers(Source_.workers());
+  std::map<std::string, JobProgress> Progress;
+  std::string Prefix = JobKeys::progress("");
+  std::string UsedKey =
+      std::string(JobKeys::Work) + Coordinator::UsedWorkersKey;
+  for (const store::KeyValue &Each : Work.Values_) {
+    if (Each.Key_ == UsedKey)
+      Coordinator_->restoreUsedWorkers(Each.Value_);
+    else if (Each.Key_.compare(0, Prefix.size(), Prefix) == 0)
+      if (auto Read = decodeOrLog<JobProgress>(Each, decodeJobProgress))
+        Progress[Each.Key_.substr(Prefix.size())] = std::move(*Read);
+  }
+  for (const auto &[Key, Value] : Jobs_->values()) {
+    JobKey Parsed = parseJobKey(Key);
+    if (Parsed.Part_ != "spec")
+      continue;
+    auto Record = decodeOrLog<JobRecord>(Value, decodeJobRecord);
+    if (!Record)
+      continue;
+    auto It = Progress.find(Parsed.Id_);
+    Coordinator_->restoreJob(
+        Parsed.Id_, std::move(*Record),
+        It == Progress.end() ? std::nullopt
+                             : std::optional<JobProgress>(It->second));
+    if (Jobs_->find(JobKeys::cancel(Parsed.Id_)) != nullptr)
+      Coordinator_->cancelJob(Parsed.Id_);
+  }
+  Restored_ = true;
+  Coordinator_->recover();
+  base::logEvent(base::LogLevel::Info, "coordinator-restored",
+                 {{"took_ms", base::toMillis(Clock_.now() - BegunAt_)},
+                  {"records", static_cast<int64_t>(Work.Values_.size())},
+                  {"revision", Work.Revision_}});
+}
+
+void CoordinatorHost::jobKeyChanged(const store::KeyValue &Value,
+                                    bool Deleted) {
+  if (!Restored_ || Deleted)
+    return;
+  JobKey Parsed = parseJobKey(Value.Key_);
+  if (Parsed.Part_ == "spec") {
+    if (auto Record = decodeOrLog<JobRecord>(Value, decodeJobRecord))
+      Coordinator_->addJob(Parsed.Id_, std::move(*Record));
+    if (Jobs_->find(JobKeys::cancel(Parsed.Id_)) != nullptr)
+      Coordinator_->cancelJob(Parsed.Id_);
+  } else if (Parsed.Part_ == "cancel") {
+    Coordinator_->cancelJob(Parsed.Id_);
+  }
+  Coordinator_->tick();
+}
+
+void CoordinatorHost::commit(CommitBatch Batch) {
+  store::Txn Request;
+  Request.Compares_ = {{Office_->termKey(), store::CompareTarget::ModRevision,
+                        Office_->termRevision()}};
+  for (auto &[Key, Value] : Batch.Writes_)
+    Request.Puts_.push_back(
+        {std::string(JobKeys::Work) + Key, std::move(Value), 0});
+  Store_.txn(std::move(Request),
+             [this, Weak = std::weak_ptr<int>(Alive_), Number = Batch.Number_,
+              Sent = Clock_.now()](
+                 const store::StoreResult<store::TxnReply> &Result) {
+               if (Weak.expired())
+                 return;
+               Metrics_
+                   .histogram("crocuslead_commit_seconds",
+                              "Duration of progress commits.")
+                   .record(Clock_.now() - Sent);
+               const auto *Reply = std::get_if<store::TxnReply>(&Result);
+               CommitResult Outcome = CommitResult::Unconfirmed;
+               if (Reply != nullptr)
+                 Outcome = Reply->Succeeded_ ? CommitResult::Durable
+                                             : CommitResult::Superseded;
+               else
+                 base::logEvent(
+                     base::LogLevel::Warn, "commit-unconfirmed",
+                     {{"commit", Number},
+                      {"reason", std::get<store::StoreError>(Result).Message_}});
+               Coordinator_->commitDone(Number, Outcome);
+             });
+}
+
+void CoordinatorHost::removeExpired() {
+  NextCleanup_ = Clock_.now() + CleanupInterval;
+  std::vector<std::string> Ids = Coordinator_->takeExpired();
+  for (std::size_t From = 0; From < Ids.size(); From += JobsPerCleanup) {
+    store::Txn Request;
+    Request.Compares_ = {{Office_->termKey(), store::CompareTarget::ModRevision,
+                          Office_->termRevision()}};
+    std::size_t To = std::min(Ids.size(), From + JobsPerCleanup);
+    for (std::size_t I = From; I < To; ++I)
+      Request.Deletes_.insert(Request.Deletes_.end(),
+                              {{JobKeys::spec(Ids[I]), ""},
+                               {JobKeys::cancel(Ids[I]), ""},
+                               {JobKeys::progress(Ids[I]), ""}});
+    Store_.txn(std::move(Request),
+               [Count = To - From](
+                   const store::StoreResult<store::TxnReply> &Result) {
+                 // Records that stay are found again by the next term.
+                 base::logEvent(
+                     base::LogLevel::Info, "expired-jobs-removed",
+                     {{"jobs", static_cast<int64_t>(Count)},
+                      {"answered",
+                       std::holds_alternative<store::TxnReply>(Result)}});
+               });
+  }
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/JobKeys.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace crocuslead::jobs {
+
+//! Layout of the store's keys for jobs.
+//!   office/holder, office/term       the election
+//!   jobs/ID/spec, jobs/ID/cancel     written by the instance that answers
+//!   work/progress/ID, work/workers   written by the coordinator alone
+struct JobKeys {
+  static constexpr std::string_view Office = "crocuslead/office/";
+  static constexpr std::string_view Jobs = "crocuslead/jobs/";
+  static constexpr std::string_view Work = "crocuslead/work/";
+
+  static std::string folder(const std::string &Id) {
+    return std::string(Jobs) + Id + "/";
+  }
+  static std::string spec(const std::string &Id) { return folder(Id) + "spec"; }
+  static std::string cancel(const std::string &Id) {
+    return folder(Id) + "cancel";
+  }
+  static std::string progress(const std::string &Id) {
+    return std::string(Work) + "progress/" + Id;
+  }
+};
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/JobRecord.cpp
@@ -0,0 +1,183 @@
+#include "jobs/JobRecord.h"
+
+#include "base/NameTable.h"
+
+#include <nlohmann/json.hpp>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto StateNames =
+    base::makeNameTable<JobState>({{JobState::Queued, "queued"},
+                                   {JobState::Running, "running"},
+                                   {JobState::Completed, "completed"},
+                                   {JobState::Failed, "failed"},
+                                   {JobState::Cancelled, "cancelled"}});
+
+int64_t unixMillis(base::WallTime Time) {
+  return Time.time_since_epoch().count();
+}
+
+base::WallTime wallTime(int64_t UnixMs) {
+  return base::WallTime(std::chrono::milliseconds(UnixMs));
+}
+
+template <typename T>
+void putNonZero(json &Out, const char *Name, const T &Value) {
+  if (Value != T{})
+    Out[Name] = Value;
+}
+
+json stepToJson(const StepSpec &Step) {
+  json Out = {{"count", Step.Count_}};
+  putNonZero(Out, "cpu", Step.Request_.MilliCpu_);
+  putNonZero(Out, "memory", Step.Request_.MemoryMb_);
+  putNonZero(Out, "accelerators", Step.Request_.Accelerators_);
+  putNonZero(Out, "estimate_us", Step.Estimate_.count());
+  putNonZero(Out, "after", Step.After_);
+  putNonZero(Out, "checkpoints", Step.Checkpoints_);
+  putNonZero(Out, "gang", Step.Gang_);
+  putNonZero(Out, "tight", Step.TightlyCoupled_);
+  putNonZero(Out, "label", Step.RequiredLabel_);
+  putNonZero(Out, "rack", Step.DataRack_);
+  putNonZero(Out, "per_worker", Step.MaxPerWorker_);
+  putNonZero(Out, "speculative", Step.Speculative_);
+  putNonZero(Out, "long_running", Step.LongRunning_);
+  putNonZero(Out, "image", Step.Image_);
+  putNonZero(Out, "tail_us", Step.TailTarget_.count());
+  putNonZero(Out, "best_effort", Step.BestEffort_);
+  if (Step.HasDisruptionBudget_)
+    Out["budget"] = Step.DisruptionBudget_;
+  return Out;
+}
+
+StepSpec stepFromJson(const json &In) {
+  StepSpec Step;
+  Step.Count_ = In.at("count").get<uint32_t>();
+  Step.Request_.MilliCpu_ = In.value("cpu", int64_t{0});
+  Step.Request_.MemoryMb_ = In.value("memory", int64_t{0});
+  Step.Request_.Accelerators_ = In.value("accelerators", int64_t{0});
+  Step.Estimate_ = base::Duration(In.value("estimate_us", int64_t{0}));
+  Step.After_ = In.value("after", std::vector<uint32_t>{});
+  Step.Checkpoints_ = In.value("checkpoints", false);
+  Step.Gang_ = In.value("gang", false);
+  Step.TightlyCoupled_ = In.value("tight", false);
+  Step.RequiredLabel_ = In.value("label", "");
+  Step.DataRack_ = In.value("rack", "");
+  Step.MaxPerWorker_ = In.value("per_worker", uint32_t{0});
+  Step.Speculative_ = In.value("speculative", false);
+  Step.LongRunning_ = In.value("long_running", false);
+  Step.Image_ = In.value("image", "");
+  Step.TailTarget_ = base::Duration(In.value("tail_us", int64_t{0}));
+  Step.BestEffort_ = In.value("best_effort", false);
+  Step.HasDisruptionBudget_ = In.contains("budget");
+  Step.DisruptionBudget_ = In.value("budget", uint32_t{0});
+  return Step;
+}
+
+json positionToJson(const TaskPosition &At) {
+  return json::array({At.Occurrence_, At.Step_, At.Index_});
+}
+
+TaskPosition positionFromJson(const json &In) {
+  return {In.at(0).get<uint32_t>(), In.at(1).get<uint32_t>(),
+          In.at(2).get<uint32_t>()};
+}
+
+std::string toBytes(const json &Value) {
+  std::vector<uint8_t> Bytes = json::to_cbor(Value);
+  return {Bytes.begin(), Bytes.end()};
+}
+
+template <typename T, typename Parse>
+base::Result<T> fromBytes(const std::string &Bytes, const Parse &Fill) {
+  try {
+    return Fill(json::from_cbor(Bytes));
+  } catch (const json::exception &E) {
+    return base::fail(base::ErrorKind::InvalidRequest,
+                      std::string("stored record: ") + E.what());
+  }
+}
+
+} // namespace
+
+std::string_view jobStateName(JobState State) { return StateNames.name(State); }
+
+std::optional<JobState> parseJobState(std::string_view Name) {
+  return StateNames.parse(Name);
+}
+
+std::string encode(const JobRecord &Record) {
+  json Steps = json::array();
+  for (const StepSpec &Step : Record.Spec_.Steps_)
+    Steps.push_back(stepToJson(Step));
+  json Out = {{"queue", Record.Queue_},
+              {"accepted", unixMillis(Record.Accepted_)},
+              {"payload", Record.Spec_.Payload_},
+              {"steps", std::move(Steps)}};
+  putNonZero(Out, "repetitions", Record.Spec_.Repetitions_);
+  if (Record.Spec_.Repetitions_ > 0) {
+    Out["first"] = unixMillis(Record.Spec_.FirstRun_);
+    Out["interval"] = Record.Spec_.Interval_.count();
+  }
+  return toBytes(Out);
+}
+
+base::Result<JobRecord> decodeJobRecord(const std::string &Bytes) {
+  return fromBytes<JobRecord>(Bytes, [](const json &In) {
+    JobRecord Out;
+    Out.Queue_ = In.at("queue").get<std::string>();
+    Out.Accepted_ = wallTime(In.at("accepted").get<int64_t>());
+    Out.Spec_.Payload_ = In.at("payload").get<std::string>();
+    for (const json &Step : In.at("steps"))
+      Out.Spec_.Steps_.push_back(stepFromJson(Step));
+    Out.Spec_.Repetitions_ = In.value("repetitions", uint32_t{0});
+    Out.Spec_.FirstRun_ = wallTime(In.value("first", int64_t{0}));
+    Out.Spec_.Interval_ =
+        std::chrono::milliseconds(In.value("interval", int64_t{0}));
+    return Out;
+  });
+}
+
+std::string encode(const JobProgress &Progress) {
+  json Out = {{"state", jobStateName(Progress.State_)}};
+  if (Progress.Ended_)
+    Out["ended"] = unixMillis(*Progress.Ended_);
+  putNonZero(Out, "occurrences", Progress.OccurrencesDone_);
+  for (const TaskPosition &At : Progress.Done_)
+    Out["done"].push_back(positionToJson(At));
+  for (const auto &[At, Task] : Progress.Open_) {
+    json Row = positionToJson(At);
+    Row.push_back(Task.FailedRuns_);
+    Row.push_back(Task.Checkpoint_);
+    Out["open"].push_back(std::move(Row));
+  }
+  return toBytes(Out);
+}
+
+base::Result<JobProgress> decodeJobProgress(const std::string &Bytes) {
+  return fromBytes<JobProgress>(
+      Bytes, [](const json &In) -> base::Result<JobProgress> {
+        JobProgress Out;
+        auto State = parseJobState(In.at("state").get<std::string>());
+        if (!State)
+          return base::fail(base::ErrorKind::InvalidRequest,
+                            "stored record: unknown job state");
+        Out.State_ = *State;
+        if (In.contains("ended"))
+          Out.Ended_ = wallTime(In["ended"].get<int64_t>());
+        Out.OccurrencesDone_ = In.value("occurrences", uint32_t{0});
+        for (const json &Row : In.value("done", json::array()))
+          Out.Done_.push_back(positionFromJson(Row));
+        for (const json &Row : In.value("open", json::array()))
+          Out.Open_[positionFromJson(Row)] = {
+              Row.at(3).get<std::vector<uint64_t>>(),
+              Row.at(4).get<std::string>()};
+        return Out;
+      });
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/internal/Commits.cpp
@@ -0,0 +1,156 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+constexpr auto CommitRetry = std::chrono::milliseconds(150);
+
+} // namespace
+
+void Coordinator::Impl::changed(Job &Owner) {
+  ++Owner.Version_;
+  if (Owner.Queued_)
+    return;
+  Owner.Queued_ = true;
+  if (Dirty_.empty())
+    DirtySince_ = now();
+  Dirty_.push_back(Owner.Id_);
+}
+
+JobProgress Coordinator::Impl::progressOf(const Job &Owner) const {
+  JobProgress Out;
+  Out.State_ = Owner.State_;
+  if (isFinal(Owner.State_)) {
+    Out.Ended_ = Owner.Ended_;
+    return Out;
+  }
+  uint32_t Complete = Owner.Occurrences_.empty()
+                          ? Owner.OccurrencesDone_
+                          : Owner.Occurrences_.begin()->first;
+  for (const auto &[Number, Each] : Owner.Occurrences_) {
+    if (Each.StepsDone_ == Each.Steps_.size()) {
+      // Only a leading run of complete occurrences is counted by its length.
+      if (Number == Complete) {
+        ++Complete;
+        continue;
+      }
+    }
+    for (const StepWork &Step : Each.Steps_)
+      for (const Task &Of : Step.Tasks_) {
+        if (Of.Done_)
+          Out.Done_.push_back(Of.At_);
+        else if (!Of.FailedRuns_.empty() || !Of.Checkpoint_.empty())
+          Out.Open_[Of.At_] = {Of.FailedRuns_, Of.Checkpoint_};
+      }
+  }
+  Out.OccurrencesDone_ = Complete;
+  return Out;
+}
+
+std::string Coordinator::Impl::usedWorkersRecord() const {
+  auto Rows = nlohmann::json::array();
+  for (const Worker *Each : WorkerOrder_)
+    Rows.push_back(
+        {Each->Info_.Id_, Each->Info_.Address_, Each->Info_.Born_});
+  return Rows.dump();
+}
+
+void Coordinator::Impl::driveCommits() {
+  if (InFlight_ || Superseded_ || now() < CommitRetryAt_)
+    return;
+  bool Due = !Dirty_.empty() &&
+             (CommitUrgent_ || Dirty_.size() >= Settings_.MaxBatch_ ||
+              now() - DirtySince_ >= Settings_.Times_.CommitDelay_);
+  if (!Due && !UsedWorkersDirty_)
+    return;
+  CommitBatch Batch;
+  Batch.Number_ = NextCommit_++;
+  InFlight_.emplace();
+  InFlight_->Number_ = Batch.Number_;
+  if (UsedWorkersDirty_) {
+    UsedWorkersDirty_ = false;
+    Batch.Writes_.emplace_back(UsedWorkersKey, usedWorkersRecord());
+    for (const Worker *Each : WorkerOrder_)
+      InFlight_->Workers_.push_back(Each->Info_.Id_);
+  }
+  while (!Dirty_.empty() && Batch.Writes_.size() < Settings_.MaxBatch_) {
+    std::string Id = std::move(Dirty_.front());
+    Dirty_.pop_front();
+    Job *Owner = findJob(Id);
+    if (Owner == nullptr)
+      continue;
+    Owner->Queued_ = false;
+    InFlight_->Versions_.emplace_back(Id, Owner->Version_);
+    Batch.Writes_.emplace_back(ProgressPrefix + Id, encode(progressOf(*Owner)));
+  }
+  DirtySince_ = now();
+  CommitUrgent_ = !Dirty_.empty() && CommitUrgent_;
+  Commit_(std::move(Batch));
+}
+
+void Coordinator::Impl::commitDone(uint64_t Number, CommitResult Result) {
+  if (!InFlight_ || InFlight_->Number_ != Number)
+    return;
+  InFlightCommit Done = std::move(*InFlight_);
+  InFlight_.reset();
+  if (Result == CommitResult::Superseded) {
+    Superseded_ = true;
+    base::logEvent(base::LogLevel::Warn, "coordinator-superseded",
+                   {{"term", Settings_.Term_}, {"seen_at", "commit"}});
+    return;
+  }
+  if (Result == CommitResult::Unconfirmed) {
+    CommitRetryAt_ = now() + CommitRetry;
+    UsedWorkersDirty_ = UsedWorkersDirty_ || !Done.Workers_.empty();
+    for (const auto &[Id, Version] : Done.Versions_)
+      if (Job *Owner = findJob(Id); Owner != nullptr && !Owner->Queued_) {
+        Owner->Queued_ = true;
+        Dirty_.push_front(Id);
+      }
+    return;
+  }
+  for (const std::string &Id : Done.Workers_)
+    if (auto It = Workers_.find(Id); It != Workers_.end()) {
+      It->second->Recorded_ = true;
+      PassWanted_ = true;
+    }
+  for (const auto &[Id, Version] : Done.Versions_) {
+    Job *Owner = findJob(Id);
+    if (Owner == nullptr)
+      continue;
+    Owner->DurableVersion_ = std::max(Owner->DurableVersion_, Version);
+    if (Owner->DurableVersion_ == Owner->Version_)
+      Owner->DurableState_ = Owner->State_;
+  }
+  advanceAcknowledgements();
+  driveCommits();
+}
+
+void Coordinator::Impl::advanceAcknowledgements() {
+  for (Worker *Each : WorkerOrder_) {
+    bool Advanced = false;
+    while (!Each->PendingEnds_.empty()) {
+      const internal::PendingEnd &First = Each->PendingEnds_.front();
+      Job *Owner = findJob(First.Job_);
+      if (Owner != nullptr && Owner->DurableVersion_ < First.Version_)
+        break;
+      Each->Acknowledged_ = First.Number_;
+      Each->PendingEnds_.pop_front();
+      Advanced = true;
+    }
+    if (Advanced && Each->PendingEnds_.empty())
+      Each->NextLookAt_ = std::min(Each->NextLookAt_, now());
+  }
+}
+
+bool Coordinator::Impl::settled() const {
+  return !InFlight_ && Dirty_.empty() && !UsedWorkersDirty_;
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/internal/Jobs.cpp
@@ -0,0 +1,290 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+//! Occurrences of a recurring job that may be open at one time.
+constexpr std::size_t MaxOpenOccurrences = 64;
+
+//! Run numbers of a term start above those of the terms before it, whose last
+//! starts may be unknown. A job with more starts in one term has long failed.
+constexpr uint64_t RunsPerTerm = 100'000;
+
+} // namespace
+
+Coordinator::Impl::Job *Coordinator::Impl::findJob(const std::string &Id) {
+  auto It = Jobs_.find(Id);
+  return It == Jobs_.end() ? nullptr : It->second.get();
+}
+
+internal::StepWork *Coordinator::Impl::findStep(Job &Owner,
+                                                const TaskPosition &At) {
+  auto It = Owner.Occurrences_.find(At.Occurrence_);
+  if (It == Owner.Occurrences_.end() || At.Step_ >= It->second.Steps_.size())
+    return nullptr;
+  StepWork &Step = It->second.Steps_[At.Step_];
+  return At.Index_ < Step.Tasks_.size() ? &Step : nullptr;
+}
+
+internal::Task *Coordinator::Impl::findTask(const TaskId &Id) {
+  Job *Owner = findJob(Id.Job_);
+  StepWork *Step = Owner != nullptr ? findStep(*Owner, Id.At_) : nullptr;
+  return Step != nullptr ? &Step->Tasks_[Id.At_.Index_] : nullptr;
+}
+
+const QueueConfig *Coordinator::Impl::queueOf(const Job &Owner) const {
+  auto It = Config_.Queues_.find(Owner.Record_.Queue_);
+  return It == Config_.Queues_.end() ? nullptr : &It->second;
+}
+
+void Coordinator::Impl::updateTarget(Job &Owner) {
+  const QueueConfig *Queue = queueOf(Owner);
+  auto Age = std::max(std::chrono::milliseconds(0),
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Clock_.wallNow() - Owner.Record_.Accepted_));
+  base::Duration Chain = longestChain(Owner.Record_.Spec_);
+  Owner.Target_ = now() - Age + Chain;
+  if (Queue != nullptr)
+    Owner.Target_ =
+        now() - Age + Queue->Target_ +
+        std::chrono::duration_cast<base::Duration>(Chain * Queue->Stretch_);
+}
+
+void Coordinator::Impl::addJob(const std::string &Id, JobRecord Record,
+                               const std::optional<JobProgress> &Progress,
+                               bool Restored) {
+  if (findJob(Id) != nullptr)
+    return;
+  auto &Slot = Jobs_[Id];
+  Slot = std::make_unique<Job>();
+  Job &Owner = *Slot;
+  Owner.Id_ = Id;
+  Owner.Record_ = std::move(Record);
+  Owner.Order_ = NextOrder_++;
+  Owner.Restored_ = Restored;
+  Owner.NextRun_ = (Settings_.Term_ - 1) * RunsPerTerm + 1;
+  updateTarget(Owner);
+  if (Progress)
+    restoreProgress(Owner, *Progress);
+  if (isFinal(Owner.State_))
+    return;
+  openOccurrences(Owner);
+  if (Progress) {
+    for (const TaskPosition &At : Progress->Done_)
+      if (StepWork *Step = findStep(Owner, At))
+        taskDone(Owner, *Step, Step->Tasks_[At.Index_]);
+    for (const auto &[At, Open] : Progress->Open_)
+      if (StepWork *Step = findStep(Owner, At)) {
+        Step->Tasks_[At.Index_].FailedRuns_ = Open.FailedRuns_;
+        Step->Tasks_[At.Index_].Checkpoint_ = Open.Checkpoint_;
+      }
+  }
+  base::logEvent(base::LogLevel::Info, "job-known",
+                 {{"job", Id},
+                  {"queue", Owner.Record_.Queue_},
+                  {"steps", static_cast<int64_t>(
+                                Owner.Record_.Spec_.Steps_.size())},
+                  {"restored", Restored},
+                  {"term", Settings_.Term_}});
+  PassWanted_ = true;
+}
+
+void Coordinator::Impl::restoreProgress(Job &Owner,
+                                        const JobProgress &Progress) {
+  Owner.State_ = Progress.State_;
+  Owner.DurableState_ = Progress.State_;
+  Owner.OccurrencesDone_ = Progress.OccurrencesDone_;
+  Owner.NextOccurrence_ = Progress.OccurrencesDone_;
+  Owner.Started_ = Progress.State_ != JobState::Queued;
+  if (!isFinal(Owner.State_))
+    return;
+  Owner.Ended_ = Progress.Ended_.value_or(Clock_.wallNow());
+  Owner.EndedAt_ = now();
+  Finished_.push_back(Owner.Id_);
+}
+
+void Coordinator::Impl::openOccurrences(Job &Owner) {
+  const JobSpec &Spec = Owner.Record_.Spec_;
+  if (Spec.Repetitions_ == 0) {
+    if (Owner.NextOccurrence_ == 0)
+      openOccurrence(Owner, Owner.NextOccurrence_++);
+    return;
+  }
+  while (Owner.NextOccurrence_ < Spec.Repetitions_ &&
+         Owner.Occurrences_.size() < MaxOpenOccurrences &&
+         Clock_.wallNow() >=
+             Spec.FirstRun_ + Spec.Interval_ * Owner.NextOccurrence_)
+    openOccurrence(Owner, Owner.NextOccurrence_++);
+}
+
+void Coordinator::Impl::openOccurrence(Job &Owner, uint32_t Number) {
+  Occurrence &Opened = Owner.Occurrences_[Number];
+  Opened.Number_ = Number;
+  const auto &Specs = Owner.Record_.Spec_.Steps_;
+  Opened.Steps_.resize(Specs.size());
+  for (uint32_t S = 0; S < Specs.size(); ++S) {
+    StepWork &Step = Opened.Steps_[S];
+    Step.Job_ = &Owner;
+    Step.Occurrence_ = Number;
+    Step.Number_ = S;
+    Step.Spec_ = &Specs[S];
+    Step.Tasks_.resize(Specs[S].Count_);
+    for (uint32_t I = 0; I < Step.Tasks_.size(); ++I)
+      Step.Tasks_[I].At_ = {Number, S, I};
+  }
+  openSteps(Opened);
+}
+
+void Coordinator::Impl::openSteps(Occurrence &Of) {
+  for (StepWork &Step : Of.Steps_) {
+    if (Step.Open_)
+      continue;
+    const auto &Before = Step.Spec_->After_;
+    Step.Open_ = std::all_of(Before.begin(), Before.end(), [&](uint32_t B) {
+      return Of.Steps_[B].complete();
+    });
+    if (Step.Open_)
+      enqueue(Step);
+  }
+}
+
+Coordinator::Impl::ReadyKey
+Coordinator::Impl::keyOf(const StepWork &Step) const {
+  const QueueConfig *Queue = queueOf(*Step.Job_);
+  return {Queue != nullptr ? Queue->Priority_ : 0, Step.Job_->Target_,
+          Step.Job_->Order_, Step.Occurrence_, Step.Number_};
+}
+
+void Coordinator::Impl::enqueue(StepWork &Step) {
+  if (!Step.Open_ || Step.complete() || isFinal(Step.Job_->State_))
+    return;
+  Ready_[keyOf(Step)] = &Step;
+  PassWanted_ = true;
+}
+
+void Coordinator::Impl::retarget() {
+  Ready_.clear();
+  for (auto &[Id, Owner] : Jobs_) {
+    if (isFinal(Owner->State_))
+      continue;
+    updateTarget(*Owner);
+    for (auto &[Number, Each] : Owner->Occurrences_)
+      for (StepWork &Step : Each.Steps_)
+        enqueue(Step);
+  }
+}
+
+void Coordinator::Impl::markStarted(Job &Owner) {
+  Owner.Started_ = true;
+  if (Owner.State_ == JobState::Queued)
+    Owner.State_ = JobState::Running;
+}
+
+void Coordinator::Impl::taskDone(Job &Owner, StepWork &Step, Task &Of) {
+  if (Of.Done_)
+    return;
+  Of.Done_ = true;
+  ++Step.Done_;
+  markStarted(Owner);
+  for (Run *Copy : std::vector<Run *>(Of.Runs_))
+    requestStop(*Copy, "another-copy-finished");
+  if (Step.complete())
+    stepDone(Owner, Step.Occurrence_);
+}
+
+void Coordinator::Impl::stepDone(Job &Owner, uint32_t OccurrenceNumber) {
+  Occurrence &Of = Owner.Occurrences_.at(OccurrenceNumber);
+  ++Of.StepsDone_;
+  if (Of.StepsDone_ < Of.Steps_.size()) {
+    openSteps(Of);
+    return;
+  }
+  ++Owner.OccurrencesDone_;
+  if (Owner.OccurrencesDone_ >=
+      std::max<uint32_t>(1, Owner.Record_.Spec_.Repetitions_))
+    finishJob(Owner, JobState::Completed, "all-tasks-done");
+}
+
+void Coordinator::Impl::finishJob(Job &Owner, JobState State,
+                                  const char *Reason) {
+  if (isFinal(Owner.State_))
+    return;
+  Owner.State_ = State;
+  Owner.Ended_ = Clock_.wallNow();
+  Owner.EndedAt_ = now();
+  Finished_.push_back(Owner.Id_);
+  for (auto &[Number, Each] : Owner.Occurrences_)
+    for (StepWork &Step : Each.Steps_) {
+      Ready_.erase(keyOf(Step));
+      for (Task &Of : Step.Tasks_)
+        for (Run *Which : std::vector<Run *>(Of.Runs_))
+          requestStop(*Which, "job-ended");
+    }
+  Metrics_
+      .counter("crocuslead_jobs_ended_total", "Jobs by final state.",
+               {{"state", std::string(jobStateName(State))}})
+      .add();
+  base::logEvent(base::LogLevel::Info, "job-ended",
+                 {{"job", Owner.Id_},
+                  {"state", jobStateName(State)},
+                  {"reason", Reason},
+                  {"age_ms", (Owner.Ended_ - Owner.Record_.Accepted_).count()},
+                  {"late_ms", base::toMillis(now() - Owner.Target_)}});
+  CommitUrgent_ = true;
+  changed(Owner);
+}
+
+void Coordinator::Impl::cancelJob(const std::string &Id) {
+  if (Job *Owner = findJob(Id))
+    finishJob(*Owner, JobState::Cancelled, "cancelled-by-caller");
+}
+
+std::optional<JobState>
+Coordinator::Impl::state(const std::string &Id) const {
+  auto It = Jobs_.find(Id);
+  if (It == Jobs_.end())
+    return std::nullopt;
+  const Job &Owner = *It->second;
+  // A cancellation is durable by its own record.
+  if (!isFinal(Owner.State_) || Owner.State_ == JobState::Cancelled ||
+      Owner.DurableState_ == Owner.State_)
+    return Owner.State_;
+  return JobState::Running;
+}
+
+std::size_t Coordinator::Impl::waiting(const std::string &Queue) const {
+  return static_cast<std::size_t>(
+      std::count_if(Jobs_.begin(), Jobs_.end(), [&](const auto &Entry) {
+        const Job &Each = *Entry.second;
+        return Each.Record_.Queue_ == Queue && !Each.Started_ &&
+               !isFinal(Each.State_);
+      }));
+}
+
+std::vector<std::string> Coordinator::Impl::takeExpired() {
+  std::vector<std::string> Out;
+  while (!Finished_.empty()) {
+    Job *Owner = findJob(Finished_.front());
+    if (Owner != nullptr) {
+      bool Old = now() - Owner->EndedAt_ >= Settings_.Times_.KeepFinished_;
+      bool Busy = false;
+      for (auto &[Number, Each] : Owner->Occurrences_)
+        for (StepWork &Step : Each.Steps_)
+          for (Task &Of : Step.Tasks_)
+            Busy = Busy || !Of.Runs_.empty();
+      if (!Old || Busy || Owner->Queued_)
+        break;
+      Out.push_back(Owner->Id_);
+      Jobs_.erase(Owner->Id_);
+    }
+    Finished_.pop_front();
+  }
+  return Out;
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/internal/Placement.cpp
@@ -0,0 +1,208 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// Serving tasks reserve for their peak and use about this much of it.
+constexpr double ServingUse = 0.6;
+// Weights of a worker's score; the free share of the CPU counts 1.
+constexpr double RackScore = 10;
+constexpr double SlownessScore = 1.0;
+constexpr double ServingNeighbourScore = 0.04;
+constexpr double AvoidedScore = 5;
+// A copy is started when a task takes this many times the time expected.
+constexpr double CopyFactor = 2.0;
+constexpr auto MinCopyAge = std::chrono::milliseconds(700);
+// Starts of one pass, so that a large queue does not hold up the event loop.
+constexpr int MaxStartsPerPass = 200;
+
+} // namespace
+
+bool Coordinator::Impl::isReady(const StepWork &Step, const Task &Of) const {
+  return !Of.Done_ && Of.Runs_.empty() && now() >= Of.NotBefore_ &&
+         !(Recovering_ && Step.Job_->Restored_);
+}
+
+bool Coordinator::Impl::fits(const StepWork &Step, const Worker &On) const {
+  const StepSpec &Spec = *Step.Spec_;
+  base::Resources Need = Spec.Request_;
+  if (Spec.BestEffort_)
+    Need.MilliCpu_ = 0;
+  if (!(On.Reserved_ + Need).fitsIn(On.Info_.Room_))
+    return false;
+  if (!Spec.BestEffort_ || On.BestEffortCpu_ == 0)
+    return true;
+  double Idle = static_cast<double>(On.Info_.Room_.MilliCpu_ -
+                                    On.Reserved_.MilliCpu_) +
+                (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
+  return static_cast<double>(On.BestEffortCpu_ + Spec.Request_.MilliCpu_) <=
+         Idle * On.BestEffortShare_;
+}
+
+bool Coordinator::Impl::eligible(const StepWork &Step, const Task &Of,
+                                 const Worker &On) const {
+  const StepSpec &Spec = *Step.Spec_;
+  const QueueConfig *Queue = queueOf(*Step.Job_);
+  if (Queue == nullptr || On.Info_.Service_ != Queue->Service_ ||
+      !reachable(On) || !On.Recorded_ || !On.Listed_ || On.Info_.Draining_ ||
+      !On.Clock_ || DomainsOut_.count(On.Info_.Domain_) > 0)
+    return false;
+  if (!Spec.RequiredLabel_.empty() &&
+      std::find(On.Info_.Labels_.begin(), On.Info_.Labels_.end(),
+                Spec.RequiredLabel_) == On.Info_.Labels_.end())
+    return false;
+  if (Spec.MaxPerWorker_ > 0) {
+    auto Here = std::count_if(On.Runs_.begin(), On.Runs_.end(),
+                              [&](const Run *R) { return R->Step_ == &Step; });
+    if (Here >= static_cast<int64_t>(Spec.MaxPerWorker_))
+      return false;
+  }
+  // Copies of one task belong on different workers.
+  return std::none_of(Of.Runs_.begin(), Of.Runs_.end(),
+                      [&](const Run *R) { return R->Worker_ == &On; }) &&
+         fits(Step, On);
+}
+
+double Coordinator::Impl::placementScore(const StepWork &Step,
+                                         const Worker &On,
+                                         const std::string *WantedRack) const {
+  const StepSpec &Spec = *Step.Spec_;
+  double Room = std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
+  double Used =
+      static_cast<double>(On.Reserved_.MilliCpu_ + On.BestEffortCpu_) -
+      (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
+  double Score = 1 - (Used + static_cast<double>(Spec.Request_.MilliCpu_)) / Room;
+  Score -= SlownessScore * std::max(0.0, On.Slowness_ - 1);
+  if (Spec.BestEffort_)
+    Score -= ServingNeighbourScore * On.Serving_ + (1 - On.BestEffortShare_);
+  if (WantedRack != nullptr && !WantedRack->empty() &&
+      *WantedRack == On.Info_.Rack_)
+    Score += RackScore;
+  if (now() < On.AvoidUntil_)
+    Score -= AvoidedScore;
+  return Score;
+}
+
+Coordinator::Impl::Worker *
+Coordinator::Impl::chooseWorker(const StepWork &Step, const Task &Of,
+                                const std::string *WantedRack) {
+  Worker *Best = nullptr;
+  double BestScore = 0;
+  for (Worker *Each : WorkerOrder_) {
+    if (!eligible(Step, Of, *Each))
+      continue;
+    double Score = placementScore(Step, *Each, WantedRack);
+    if (Of.AvoidWorker_ == Each->Info_.Id_)
+      Score -= AvoidedScore;
+    if (Best == nullptr || Score > BestScore) {
+      Best = Each;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+bool Coordinator::Impl::placeStep(StepWork &Step) {
+  if (Step.Spec_->Gang_)
+    return placeGang(Step);
+  bool Placed = false;
+  std::string Rack = Step.Spec_->DataRack_;
+  for (Task &Of : Step.Tasks_) {
+    if (!isReady(Step, Of))
+      continue;
+    Worker *On = chooseWorker(Step, Of, &Rack);
+    if (On == nullptr)
+      break;
+    if (Step.Spec_->TightlyCoupled_ && Rack.empty())
+      Rack = On->Info_.Rack_;
+    startRun(Step, Of, *On, Step.Job_->NextRun_++);
+    Placed = true;
+  }
+  return Placed;
+}
+
+bool Coordinator::Impl::placeGang(StepWork &Step) {
+  for (Task &Of : Step.Tasks_)
+    if (!isReady(Step, Of))
+      return false;
+  uint64_t Number = Step.Job_->NextRun_++;
+  std::string Rack = Step.Spec_->DataRack_;
+  std::vector<std::pair<Task *, Worker *>> Chosen;
+  std::vector<Run *> Reserved;
+  for (Task &Of : Step.Tasks_) {
+    Worker *On = chooseWorker(Step, Of, &Rack);
+    if (On == nullptr)
+      break;
+    if (Step.Spec_->TightlyCoupled_ && Rack.empty())
+      Rack = On->Info_.Rack_;
+    Chosen.emplace_back(&Of, On);
+    Reserved.push_back(&makeRun(Step, Of, *On, Number));
+  }
+  for (Run *Each : Reserved)
+    dropRun(*Each);
+  if (Chosen.size() < Step.Tasks_.size())
+    return false;
+  // Members resume from the same checkpoint.
+  std::string Checkpoint;
+  for (const Task &Of : Step.Tasks_)
+    if (!Of.Checkpoint_.empty())
+      Checkpoint = Of.Checkpoint_;
+  for (auto &[Of, On] : Chosen) {
+    Of->Checkpoint_ = Checkpoint;
+    startRun(Step, *Of, *On, Number);
+  }
+  return true;
+}
+
+void Coordinator::Impl::place() {
+  PassWanted_ = false;
+  if (Superseded_)
+    return;
+  int Starts = 0;
+  for (auto It = Ready_.begin(); It != Ready_.end();) {
+    StepWork &Step = *It->second;
+    if (placeStep(Step))
+      ++Starts;
+    bool Waits = std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(),
+                             [](const Task &Of) {
+                               return !Of.Done_ && Of.Runs_.empty();
+                             });
+    It = Waits ? std::next(It) : Ready_.erase(It);
+    if (Starts >= MaxStartsPerPass) {
+      PassWanted_ = true;
+      return;
+    }
+  }
+}
+
+void Coordinator::Impl::placeCopies() {
+  std::vector<Run *> Late;
+  for (auto &[Serial, Each] : Runs_) {
+    StepWork &Step = *Each->Step_;
+    if (!Step.Spec_->Speculative_ || Each->Phase_ == RunPhase::Ordered ||
+        isFinal(Each->Job_->State_) ||
+        Step.Tasks_[Each->At_.Index_].Runs_.size() > 1)
+      continue;
+    base::Duration Age = now() - Each->StartedAt_;
+    double Expected = Step.Measured_ > 0
+                          ? Step.MeanSeconds_
+                          : base::toSeconds(Step.Spec_->Estimate_);
+    bool Unsure = Each->Phase_ != RunPhase::Running ||
+                  !reachable(*Each->Worker_);
+    if (Unsure ||
+        (Age > MinCopyAge && base::toSeconds(Age) > CopyFactor * Expected))
+      Late.push_back(Each.get());
+  }
+  for (Run *Each : Late) {
+    Task &Of = Each->Step_->Tasks_[Each->At_.Index_];
+    if (Worker *On = chooseWorker(*Each->Step_, Of, nullptr))
+      startRun(*Each->Step_, Of, *On, Each->Job_->NextRun_++);
+  }
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/internal/Runs.cpp
@@ -0,0 +1,381 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// A stop without an answer is sent again after this time.
+constexpr auto StopRepeat = std::chrono::milliseconds(300);
+// A worker that refused a start is left alone for this time.
+constexpr auto RefusalPause = std::chrono::milliseconds(700);
+// Ends failed in a row, without one done, after which a worker is suspected.
+constexpr int SuspectStreak = 2;
+constexpr auto SuspectPause = std::chrono::seconds(3);
+// Looks show progress at most LookWait_ + one exchange apart; a task that
+// shows none for longer stands still.
+constexpr auto StallTime = std::chrono::milliseconds(2200);
+// A long-running task is at work within its short startup.
+constexpr auto StartupTime = std::chrono::milliseconds(3000);
+// Below this pace a lack of progress says nothing.
+constexpr int MinJudgedPace = 30;
+// A task this many times slower than its siblings is moved.
+constexpr double StragglerFactor = 3.5;
+constexpr double SlownessWeight = 0.25;
+constexpr int FullPercent = 100;
+
+const char *endName(RunEnd How) {
+  constexpr const char *Names[] = {"done",          "failed",
+                                   "stopped",       "lease-expired",
+                                   "gang-broken",   "gang-incomplete"};
+  return Names[static_cast<int>(How)];
+}
+
+} // namespace
+
+Coordinator::Impl::Run *Coordinator::Impl::findRun(uint64_t Serial) {
+  auto It = Runs_.find(Serial);
+  return It == Runs_.end() ? nullptr : It->second.get();
+}
+
+Coordinator::Impl::Run *Coordinator::Impl::runOn(Worker &On, const TaskId &Id,
+                                                 uint64_t Number) {
+  for (Run *Each : On.Runs_)
+    if (Each->Number_ == Number && Each->At_ == Id.At_ &&
+        Each->Job_->Id_ == Id.Job_)
+      return Each;
+  return nullptr;
+}
+
+Coordinator::Impl::Run &Coordinator::Impl::makeRun(StepWork &Step, Task &Of,
+                                                   Worker &On,
+                                                   uint64_t Number) {
+  auto Made = std::make_unique<Run>();
+  Run &Out = *Made;
+  Out.Serial_ = NextSerial_++;
+  Out.Number_ = Number;
+  Out.Job_ = Step.Job_;
+  Out.Step_ = &Step;
+  Out.At_ = Of.At_;
+  Out.Worker_ = &On;
+  Out.Since_ = Out.StartedAt_ = Out.ProgressAt_ = now();
+  Out.Checkpoint_ = Of.Checkpoint_;
+  const StepSpec &Spec = *Step.Spec_;
+  base::Resources Reserve = Spec.Request_;
+  if (Spec.BestEffort_) {
+    On.BestEffortCpu_ += Reserve.MilliCpu_;
+    Reserve.MilliCpu_ = 0;
+  }
+  On.Reserved_ += Reserve;
+  if (Spec.TailTarget_.count() > 0) {
+    On.ServingCpu_ += Spec.Request_.MilliCpu_;
+    ++On.Serving_;
+  }
+  On.Runs_.push_back(&Out);
+  Of.Runs_.push_back(&Out);
+  Runs_[Out.Serial_] = std::move(Made);
+  return Out;
+}
+
+void Coordinator::Impl::dropRun(Run &Which) {
+  Worker &On = *Which.Worker_;
+  const StepSpec &Spec = *Which.Step_->Spec_;
+  base::Resources Reserve = Spec.Request_;
+  if (Spec.BestEffort_) {
+    On.BestEffortCpu_ -= Reserve.MilliCpu_;
+    Reserve.MilliCpu_ = 0;
+  }
+  On.Reserved_ -= Reserve;
+  if (Spec.TailTarget_.count() > 0) {
+    On.ServingCpu_ -= Spec.Request_.MilliCpu_;
+    --On.Serving_;
+  }
+  auto Remove = [&](std::vector<Run *> &From) {
+    From.erase(std::remove(From.begin(), From.end(), &Which), From.end());
+  };
+  Remove(On.Runs_);
+  Remove(Which.Step_->Tasks_[Which.At_.Index_].Runs_);
+  enqueue(*Which.Step_);
+  PassWanted_ = true;
+  Runs_.erase(Which.Serial_);
+}
+
+void Coordinator::Impl::startRun(StepWork &Step, Task &Of, Worker &On,
+                                 uint64_t Number) {
+  Run &Made = makeRun(Step, Of, On, Number);
+  markStarted(*Step.Job_);
+  StartOrder Order;
+  Order.Task_ = {Step.Job_->Id_, Of.At_};
+  Order.Run_ = Number;
+  Order.Payload_ = Step.Job_->Record_.Spec_.Payload_;
+  Order.Checkpoint_ = Of.Checkpoint_;
+  Order.LeaseUntilMs_ = grantLease(On);
+  Order.Token_ = Settings_.Term_;
+  base::logEvent(
+      base::LogLevel::Info, "task-start",
+      {{"task", taskName(Order.Task_)},
+       {"run", Number},
+       {"worker", On.Info_.Id_},
+       {"free_mcpu", On.Info_.Room_.MilliCpu_ - On.Reserved_.MilliCpu_},
+       {"best_effort_mcpu", On.BestEffortCpu_},
+       {"failures", static_cast<int64_t>(Of.FailedRuns_.size())},
+       {"resumed", !Of.Checkpoint_.empty()},
+       {"term", Settings_.Term_}});
+  Port_.start(addressOf(On), Order,
+              [Weak = weak_from_this(),
+               Serial = Made.Serial_](const OrderReply &Reply) {
+                if (auto Self = Weak.lock())
+                  Self->startAnswered(Serial, Reply);
+              });
+}
+
+void Coordinator::Impl::startAnswered(uint64_t Serial,
+                                      const OrderReply &Reply) {
+  Run *Which = findRun(Serial);
+  if (Which == nullptr || Superseded_)
+    return;
+  Worker &On = *Which->Worker_;
+  if (Reply.ClockMs_)
+    noteClock(On, *Reply.ClockMs_);
+  if (Reply.Status_ == OrderStatus::Accepted) {
+    if (Which->Phase_ == RunPhase::Ordered ||
+        Which->Phase_ == RunPhase::Doubtful) {
+      Which->Phase_ = RunPhase::Running;
+      Which->Since_ = Which->StartedAt_ = Which->ProgressAt_ = now();
+    }
+    On.LookFailures_ = 0;
+    return;
+  }
+  base::logEvent(base::LogLevel::Warn, "task-start-not-accepted",
+                 {{"task", taskName({Which->Job_->Id_, Which->At_})},
+                  {"run", Which->Number_},
+                  {"worker", On.Info_.Id_},
+                  {"status", static_cast<int64_t>(Reply.Status_)}});
+  switch (Reply.Status_) {
+  case OrderStatus::Fenced:
+    fenced("start", On);
+    return;
+  case OrderStatus::Unknown:
+    if (Which->Phase_ == RunPhase::Ordered) {
+      Which->Phase_ = RunPhase::Doubtful;
+      Which->Since_ = now();
+      On.NextLookAt_ = now();
+    }
+    return;
+  case OrderStatus::WrongLife:
+    endLife(On, "another-life-answered");
+    return;
+  default:
+    On.AvoidUntil_ = std::max(On.AvoidUntil_, now() + RefusalPause);
+    if (Reply.Status_ == OrderStatus::NotSent)
+      ++On.LookFailures_;
+    dropRun(*Which);
+  }
+}
+
+void Coordinator::Impl::requestStop(Run &Which, const char *Reason) {
+  if (Which.Phase_ == RunPhase::Stopping)
+    return;
+  Which.Phase_ = RunPhase::Stopping;
+  Which.StopReason_ = Reason;
+  Which.Since_ = now();
+  base::logEvent(base::LogLevel::Info, "task-stop",
+                 {{"task", taskName({Which.Job_->Id_, Which.At_})},
+                  {"run", Which.Number_},
+                  {"worker", Which.Worker_->Info_.Id_},
+                  {"reason", Reason},
+                  {"percent", Which.Percent_},
+                  {"report_age_ms", base::toMillis(now() - Which.ProgressAt_)}});
+  sendStop(Which);
+}
+
+void Coordinator::Impl::sendStop(Run &Which) {
+  if (Which.StopInFlight_ || Superseded_)
+    return;
+  Which.StopInFlight_ = true;
+  Which.NextStopAt_ = now() + StopRepeat;
+  Port_.stop(addressOf(*Which.Worker_),
+             {{Which.Job_->Id_, Which.At_}, Which.Number_, Settings_.Term_},
+             [Weak = weak_from_this(),
+              Serial = Which.Serial_](const OrderReply &Reply) {
+               if (auto Self = Weak.lock())
+                 Self->stopAnswered(Serial, Reply);
+             });
+}
+
+void Coordinator::Impl::stopAnswered(uint64_t Serial, const OrderReply &Reply) {
+  Run *Which = findRun(Serial);
+  if (Which == nullptr || Superseded_)
+    return;
+  Which->StopInFlight_ = false;
+  Worker &On = *Which->Worker_;
+  if (Reply.Status_ == OrderStatus::Accepted) {
+    Which->StopAnsweredAt_ = now();
+    On.NextLookAt_ = std::min(On.NextLookAt_, now());
+  } else if (Reply.Status_ == OrderStatus::Fenced) {
+    fenced("stop", On);
+  } else if (Reply.Status_ == OrderStatus::WrongLife) {
+    endLife(On, "another-life-answered");
+  } else {
+    Which->NextStopAt_ = now() + StopRepeat;
+  }
+}
+
+void Coordinator::Impl::fenced(const char *Where, const Worker &By) {
+  if (Superseded_)
+    return;
+  Superseded_ = true;
+  base::logEvent(base::LogLevel::Warn, "coordinator-superseded",
+                 {{"term", Settings_.Term_},
+                  {"seen_at", Where},
+                  {"worker", By.Info_.Id_}});
+}
+
+void Coordinator::Impl::runVanished(Run &Which, const char *Reason) {
+  Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
+  if (!Which.Checkpoint_.empty())
+    Of.Checkpoint_ = Which.Checkpoint_;
+  base::logEvent(base::LogLevel::Info, "task-run-over",
+                 {{"task", taskName({Which.Job_->Id_, Which.At_})},
+                  {"run", Which.Number_},
+                  {"worker", Which.Worker_->Info_.Id_},
+                  {"reason", Reason}});
+  dropRun(Which);
+}
+
+void Coordinator::Impl::noteOutcome(Worker &On, Run *Which,
+                                    const EndedRow &Row) {
+  if (Row.How_ == RunEnd::Done) {
+    On.FailStreak_ = 0;
+    if (Which == nullptr || !Which->Checkpoint_.empty())
+      return;
+    StepWork &Step = *Which->Step_;
+    double Took = base::toSeconds(now() - Which->StartedAt_);
+    if (Step.Measured_ > 0 && Which->Pace_ == FullPercent &&
+        Step.MeanSeconds_ > 0)
+      On.Slowness_ += SlownessWeight * (Took / Step.MeanSeconds_ - On.Slowness_);
+    ++Step.Measured_;
+    Step.MeanSeconds_ += (Took - Step.MeanSeconds_) / Step.Measured_;
+    Metrics_
+        .histogram("crocuslead_task_run_seconds", "Run time of done tasks.")
+        .record(now() - Which->StartedAt_);
+  } else if (Row.How_ == RunEnd::Failed) {
+    if (++On.FailStreak_ >= SuspectStreak) {
+      On.AvoidUntil_ = now() + SuspectPause;
+      base::logEvent(base::LogLevel::Warn, "worker-suspected",
+                     {{"worker", On.Info_.Id_},
+                      {"failures_in_a_row", On.FailStreak_}});
+    }
+  }
+}
+
+void Coordinator::Impl::runEnded(Worker &On, const EndedRow &Row) {
+  Run *Which = runOn(On, Row.Task_, Row.Run_);
+  Job *Owner = findJob(Row.Task_.Job_);
+  StepWork *Step = Owner != nullptr ? findStep(*Owner, Row.Task_.At_) : nullptr;
+  noteOutcome(On, Which, Row);
+  Metrics_
+      .counter("crocuslead_runs_ended_total", "Runs of tasks by their end.",
+               {{"how", endName(Row.How_)}})
+      .add();
+  base::logEvent(base::LogLevel::Info, "task-run-ended",
+                 {{"task", taskName(Row.Task_)},
+                  {"run", Row.Run_},
+                  {"worker", On.Info_.Id_},
+                  {"how", endName(Row.How_)},
+                  {"end", Row.Number_},
+                  {"known", Step != nullptr}});
+  if (Which != nullptr) {
+    Task &Of = Which->Step_->Tasks_[Which->At_.Index_];
+    if (!Row.Checkpoint_.empty())
+      Of.Checkpoint_ = Row.Checkpoint_;
+    else if (!Which->Checkpoint_.empty())
+      Of.Checkpoint_ = Which->Checkpoint_;
+    dropRun(*Which);
+  }
+  if (Step == nullptr || isFinal(Owner->State_))
+    return;
+  Task &Of = Step->Tasks_[Row.Task_.At_.Index_];
+  if (Row.How_ == RunEnd::Done) {
+    if (Step->Spec_->LongRunning_)
+      return;
+    if (Step->Spec_->Gang_)
+      for (Task &Member : Step->Tasks_)
+        taskDone(*Owner, *Step, Member);
+    else
+      taskDone(*Owner, *Step, Of);
+    changed(*Owner);
+  } else if (Row.How_ == RunEnd::Failed) {
+    Of.AvoidWorker_ = On.Info_.Id_;
+    taskFailed(*Owner, *Step, Of, Row);
+  } else if (!Of.Checkpoint_.empty()) {
+    changed(*Owner);
+  }
+}
+
+void Coordinator::Impl::taskFailed(Job &Owner, StepWork &Step, Task &Of,
+                                   const EndedRow &Row) {
+  auto &Failed = Of.FailedRuns_;
+  if (Of.Done_ ||
+      std::find(Failed.begin(), Failed.end(), Row.Run_) != Failed.end())
+    return;
+  if (Step.Spec_->LongRunning_)
+    return;
+  Failed.push_back(Row.Run_);
+  const QueueConfig *Queue = queueOf(Owner);
+  changed(Owner);
+  if (Queue != nullptr && Failed.size() >= Queue->MaxAttempts_)
+    finishJob(Owner, JobState::Failed, "attempts-used-up");
+}
+
+void Coordinator::Impl::checkProgress(Run &Which) {
+  if (Which.Phase_ != RunPhase::Running || Which.Pace_ < MinJudgedPace ||
+      !reachable(*Which.Worker_))
+    return;
+  const StepSpec &Spec = *Which.Step_->Spec_;
+  Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
+  base::Duration Still = now() - Which.ProgressAt_;
+  bool Stalled = Spec.LongRunning_
+                     ? Which.Percent_ < FullPercent && Still > StartupTime
+                     : Still > StallTime && !Spec.Gang_;
+  if (Stalled) {
+    ++Which.Worker_->FailStreak_;
+    Which.Worker_->AvoidUntil_ = now() + SuspectPause;
+    Of.AvoidWorker_ = Which.Worker_->Info_.Id_;
+    requestStop(Which, "no-progress");
+    return;
+  }
+  double Elapsed = base::toSeconds(now() - Which.StartedAt_);
+  if (Spec.LongRunning_ || Spec.Gang_ || Spec.BestEffort_ ||
+      Which.Step_->Measured_ < 2 || Which.Percent_ <= 0 ||
+      Which.Percent_ > FullPercent / 2)
+    return;
+  double Expected = Elapsed * FullPercent / Which.Percent_;
+  if (Expected > StragglerFactor * Which.Step_->MeanSeconds_ &&
+      Elapsed > Which.Step_->MeanSeconds_) {
+    Of.AvoidWorker_ = Which.Worker_->Info_.Id_;
+    Which.Worker_->AvoidUntil_ = now() + SuspectPause;
+    requestStop(Which, "straggler");
+  }
+}
+
+void Coordinator::Impl::driveRuns() {
+  std::vector<uint64_t> Serials;
+  Serials.reserve(Runs_.size());
+  for (auto &[Serial, Each] : Runs_)
+    Serials.push_back(Serial);
+  for (uint64_t Serial : Serials) {
+    Run *Which = findRun(Serial);
+    if (Which == nullptr)
+      continue;
+    if (Which->Phase_ == RunPhase::Stopping && !Which->StopAnsweredAt_ &&
+        now() >= Which->NextStopAt_ && Which->Worker_->Known_)
+      sendStop(*Which);
+    checkProgress(*Which);
+  }
+}
+
+} // namespace crocuslead::jobs
--- /dev/null
+++ b/src/jobs/internal/Tables.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "jobs/Fleet.h"
+#include "jobs/JobRecord.h"
+#include "jobs/WorkerPort.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocuslead::jobs::internal {
+
+struct Job;
+struct StepWork;
+struct Task;
+struct Worker;
+
+enum class RunPhase : uint8_t {
+  //! The start was sent.
+  Ordered,
+  //! The start got no answer; the worker's lists will tell.
+  Doubtful,
+  Running,
+  //! A stop is wanted; over once the worker lists the end.
+  Stopping,
+};
+
+//! One start of a task on one worker.
+struct Run {
+  uint64_t Serial_ = 0;
+  uint64_t Number_ = 0;
+  Job *Job_ = nullptr;
+  StepWork *Step_ = nullptr;
+  TaskPosition At_;
+  Worker *Worker_ = nullptr;
+  RunPhase Phase_ = RunPhase::Ordered;
+  base::TimePoint Since_;
+  base::TimePoint StartedAt_;
+  int Percent_ = 0;
+  base::TimePoint ProgressAt_;
+  std::string Checkpoint_;
+  double Load_ = 0;
+  int Pace_ = 100;
+  //! Since when the tail has been above its target.
+  std::optional<base::TimePoint> OverTargetSince_;
+  std::optional<base::TimePoint> StopAnsweredAt_;
+  base::TimePoint NextStopAt_;
+  bool StopInFlight_ = false;
+  bool PaceInFlight_ = false;
+  const char *StopReason_ = "";
+};
+
+struct Task {
+  TaskPosition At_;
+  bool Done_ = false;
+  std::vector<uint64_t> FailedRuns_;
+  std::string Checkpoint_;
+  std::vector<Run *> Runs_;
+  //! The worker of the last failed or stalled run is avoided.
+  std::string AvoidWorker_;
+  base::TimePoint NotBefore_;
+};
+
+struct StepWork {
+  Job *Job_ = nullptr;
+  uint32_t Occurrence_ = 0;
+  uint32_t Number_ = 0;
+  const StepSpec *Spec_ = nullptr;
+  std::vector<Task> Tasks_;
+  uint32_t Done_ = 0;
+  bool Open_ = false;
+  //! Completed run times, for the expected time of the others.
+  double MeanSeconds_ = 0;
+  uint32_t Measured_ = 0;
+
+  bool complete() const { return Done_ == Tasks_.size(); }
+};
+
+struct Occurrence {
+  uint32_t Number_ = 0;
+  std::vector<StepWork> Steps_;
+  uint32_t StepsDone_ = 0;
+};
+
+struct Job {
+  std::string Id_;
+  JobRecord Record_;
+  JobState State_ = JobState::Queued;
+  std::optional<JobState> DurableState_;
+  base::WallTime Ended_;
+  base::TimePoint EndedAt_;
+  std::map<uint32_t, Occurrence> Occurrences_;
+  uint32_t OccurrencesDone_ = 0;
+  uint32_t NextOccurrence_ = 0;
+  //! Position in the order of equal priorities.
+  base::TimePoint Target_;
+  uint64_t Order_ = 0;
+  uint64_t NextRun_ = 1;
+  //! Restored from an earlier term: its tasks may run at workers that have
+  //! not answered yet.
+  bool Restored_ = false;
+  bool Started_ = false;
+  uint64_t Version_ = 0;
+  uint64_t DurableVersion_ = 0;
+  bool Queued_ = false;
+};
+
+//! An end that is not acknowledged before its job's progress is durable.
+struct PendingEnd {
+  uint64_t Number_ = 0;
+  std::string Job_;
+  uint64_t Version_ = 0;
+};
+
+struct ClockSample {
+  int64_t WorkerMs_ = 0;
+  base::TimePoint At_;
+};
+
+struct Worker {
+  WorkerInfo Info_;
+  //! False once the registry has no entry for this life.
+  bool Listed_ = true;
+  //! Its lists were read in this term, so that it knows the token.
+  bool Known_ = false;
+  //! The record of used workers that names it is durable.
+  bool Recorded_ = false;
+  std::optional<ClockSample> Clock_;
+  //! Latest end of any lease that this life may hold.
+  base::TimePoint LeaseBound_;
+  bool LookInFlight_ = false;
+  uint64_t LookSerial_ = 0;
+  base::TimePoint LookSentAt_;
+  base::TimePoint NextLookAt_;
+  int LookFailures_ = 0;
+  uint64_t LastEnd_ = 0;
+  uint64_t Acknowledged_ = 0;
+  uint64_t AcknowledgedSent_ = 0;
+  std::deque<PendingEnd> PendingEnds_;
+  std::vector<Run *> Runs_;
+  //! Reserved by everything on it; best-effort CPU is kept apart.
+  base::Resources Reserved_;
+  int64_t BestEffortCpu_ = 0;
+  int64_t ServingCpu_ = 0;
+  uint32_t Serving_ = 0;
+  //! Ends failed or stalled since the last one that was done.
+  int FailStreak_ = 0;
+  base::TimePoint AvoidUntil_;
+  //! Run time here against elsewhere, smoothed.
+  double Slowness_ = 1;
+  //! Share of the idle CPU that best-effort tasks may take; shrinks while a
+  //! tail is above its target.
+  double BestEffortShare_ = 1;
+  base::TimePoint DrainSince_;
+  uint64_t Order_ = 0;
+};
+
+} // namespace crocuslead::jobs::internal
--- /dev/null
+++ b/src/jobs/internal/Workers.cpp
@@ -0,0 +1,420 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// A worker's clock may be 2% slow, so a lease lasts that much longer here.
+constexpr double SlowestWorkerClock = 0.98;
+// A predecessor that has not noticed its end may grant leases for this long.
+constexpr auto PredecessorSlack = std::chrono::milliseconds(1500);
+// Looks without an answer after which a worker gets no start.
+constexpr int UnreachableAfter = 2;
+constexpr auto LookRetry = std::chrono::milliseconds(250);
+constexpr auto LookRetryMax = std::chrono::milliseconds(1000);
+// A worker with ends that are not durable answers at once, so it is not asked
+// again before this time.
+constexpr auto UndurableLookPause = std::chrono::milliseconds(200);
+
+int64_t millis(base::Duration D) { return base::toMillis(D); }
+
+} // namespace
+
+bool Coordinator::Impl::reachable(const Worker &Of) const {
+  return Of.Known_ && Of.LookFailures_ < UnreachableAfter;
+}
+
+Coordinator::Impl::Worker &
+Coordinator::Impl::makeWorker(const WorkerInfo &Info) {
+  auto &Slot = Workers_[Info.Id_];
+  Slot = std::make_unique<Worker>();
+  Slot->Info_ = Info;
+  Slot->Order_ = NextOrder_++;
+  Slot->NextLookAt_ = now();
+  WorkerOrder_.push_back(Slot.get());
+  base::logEvent(base::LogLevel::Info, "worker-found",
+                 {{"worker", Info.Id_},
+                  {"domain", Info.Domain_},
+                  {"service", Info.Service_},
+                  {"born_ms", Info.Born_},
+                  {"draining", Info.Draining_}});
+  UsedWorkersDirty_ = true;
+  return *Slot;
+}
+
+void Coordinator::Impl::setWorkers(
+    const std::map<std::string, WorkerInfo> &Workers) {
+  for (const auto &[Id, Info] : Workers) {
+    auto It = Workers_.find(Id);
+    if (It != Workers_.end() && It->second->Info_.Born_ != Info.Born_ &&
+        Info.Born_ != 0 && It->second->Info_.Born_ != 0) {
+      endLife(*It->second, "reborn");
+      It = Workers_.end();
+    }
+    if (It == Workers_.end()) {
+      makeWorker(Info);
+      continue;
+    }
+    Worker &Known = *It->second;
+    bool Drains = Info.Draining_ && !Known.Info_.Draining_;
+    if (Info.Address_ != Known.Info_.Address_)
+      UsedWorkersDirty_ = true;
+    Known.Info_ = Info;
+    if (!Known.Listed_) {
+      Known.Listed_ = true;
+      Known.NextLookAt_ = std::min(Known.NextLookAt_, now());
+    }
+    if (Drains) {
+      Known.DrainSince_ = now();
+      moveWorkOff(Known);
+    }
+  }
+  for (auto &[Id, Known] : Workers_) {
+    if (Known->Listed_ && Workers.count(Id) == 0) {
+      Known->Listed_ = false;
+      base::logEvent(base::LogLevel::Warn, "worker-unlisted",
+                     {{"worker", Id},
+                      {"runs", static_cast<int64_t>(Known->Runs_.size())},
+                      {"lease_left_ms", millis(Known->LeaseBound_ - now())}});
+    }
+  }
+  PassWanted_ = true;
+}
+
+void Coordinator::Impl::moveWorkOff(Worker &Leaving) {
+  base::Duration Left =
+      Leaving.Info_.Remaining_.value_or(Settings_.Times_.StopTimeout_);
+  base::logEvent(base::LogLevel::Info, "worker-draining",
+                 {{"worker", Leaving.Info_.Id_},
+                  {"runs", static_cast<int64_t>(Leaving.Runs_.size())},
+                  {"remaining_ms", millis(Left)}});
+  for (Run *Which : std::vector<Run *>(Leaving.Runs_)) {
+    const StepSpec &Spec = *Which->Step_->Spec_;
+    base::Duration Expected = Spec.Estimate_;
+    if (Which->Step_->Measured_ > 0)
+      Expected = std::chrono::duration_cast<base::Duration>(
+          std::chrono::duration<double>(Which->Step_->MeanSeconds_));
+    base::Duration Rest = Expected * (100 - Which->Percent_) / 100;
+    if (Spec.LongRunning_ ||
+        (Spec.Checkpoints_ && Rest + Settings_.Times_.StopTimeout_ > Left))
+      requestStop(*Which, "worker-draining");
+  }
+}
+
+void Coordinator::Impl::recover() {
+  Recovering_ = true;
+  base::Duration Bound = std::chrono::duration_cast<base::Duration>(
+      Settings_.Times_.Lease_ / SlowestWorkerClock);
+  RecoveryEnd_ = now() + Bound + PredecessorSlack;
+  for (auto &[Id, Each] : Workers_)
+    Each->LeaseBound_ = std::max(Each->LeaseBound_, RecoveryEnd_);
+  base::logEvent(base::LogLevel::Info, "recovery-started",
+                 {{"term", Settings_.Term_},
+                  {"jobs", static_cast<int64_t>(Jobs_.size())},
+                  {"workers", static_cast<int64_t>(Workers_.size())}});
+  driveWorkers();
+}
+
+void Coordinator::Impl::restoreUsedWorkers(const std::string &Record) {
+  auto Rows = nlohmann::json::parse(Record, nullptr, false);
+  if (!Rows.is_array()) {
+    base::logEvent(base::LogLevel::Error, "used-workers-unreadable",
+                   {{"bytes", static_cast<int64_t>(Record.size())}});
+    return;
+  }
+  for (const auto &Row : Rows) {
+    if (!Row.is_array() || Row.size() != 3)
+      continue;
+    WorkerInfo Info;
+    Info.Id_ = Row[0].get<std::string>();
+    Info.Address_ = Row[1].get<std::string>();
+    Info.Born_ = Row[2].get<int64_t>();
+    auto It = Workers_.find(Info.Id_);
+    // Another life under the same id cannot run what the earlier one ran.
+    if (It == Workers_.end())
+      makeWorker(Info).Listed_ = false;
+  }
+}
+
+void Coordinator::Impl::checkRecovery() {
+  if (!Recovering_)
+    return;
+  bool AllAnswered =
+      std::all_of(Workers_.begin(), Workers_.end(), [this](const auto &Entry) {
+        return Entry.second->Known_ || Entry.second->LeaseBound_ < RecoveryEnd_;
+      });
+  if (AllAnswered)
+    endRecovery("all-workers-answered");
+  else if (now() >= RecoveryEnd_)
+    endRecovery("earlier-leases-expired");
+}
+
+void Coordinator::Impl::endRecovery(const char *Reason) {
+  Recovering_ = false;
+  PassWanted_ = true;
+  base::logEvent(base::LogLevel::Info, "recovery-finished",
+                 {{"reason", Reason},
+                  {"runs", static_cast<int64_t>(Runs_.size())},
+                  {"jobs", static_cast<int64_t>(Jobs_.size())}});
+}
+
+void Coordinator::Impl::noteClock(Worker &Of, int64_t WorkerMs) {
+  Of.Clock_ = internal::ClockSample{WorkerMs, now()};
+}
+
+int64_t Coordinator::Impl::grantLease(Worker &To) {
+  base::Duration Since = now() - To.Clock_->At_;
+  int64_t Until = To.Clock_->WorkerMs_ + millis(Since + Settings_.Times_.Lease_);
+  auto Bound = std::chrono::duration_cast<base::Duration>(
+      (Since + Settings_.Times_.Lease_) / SlowestWorkerClock);
+  To.LeaseBound_ = std::max(To.LeaseBound_, To.Clock_->At_ + Bound);
+  return Until;
+}
+
+bool Coordinator::Impl::wantsLook(const Worker &At) const {
+  return !At.Known_ || !At.Runs_.empty() || At.LookFailures_ > 0 ||
+         At.Acknowledged_ > At.AcknowledgedSent_ || !At.PendingEnds_.empty();
+}
+
+void Coordinator::Impl::driveWorkers() {
+  std::vector<std::string> Ids;
+  for (Worker *Each : WorkerOrder_)
+    Ids.push_back(Each->Info_.Id_);
+  for (const std::string &Id : Ids) {
+    Worker &Each = *Workers_.at(Id);
+    if (!Each.LookInFlight_ && now() >= Each.NextLookAt_ && wantsLook(Each))
+      look(Each);
+    removeIfOver(Id);
+  }
+}
+
+void Coordinator::Impl::removeIfOver(const std::string &Id) {
+  Worker &Each = *Workers_.at(Id);
+  bool Unreachable = Each.LookFailures_ >= UnreachableAfter || !Each.Known_;
+  if (!Unreachable || now() <= Each.LeaseBound_)
+    return;
+  if (!Each.Runs_.empty())
+    for (Run *Which : std::vector<Run *>(Each.Runs_))
+      runVanished(*Which, "lease-expired-at-unreachable-worker");
+  if (!Each.Listed_)
+    endLife(Each, "unlisted-and-lease-expired");
+}
+
+void Coordinator::Impl::look(Worker &At) {
+  if (Superseded_)
+    return;
+  LookOrder Order;
+  Order.Token_ = Settings_.Term_;
+  Order.AcknowledgedEnd_ = At.Acknowledged_;
+  // A worker that does not answer must not get its lease extended for ever.
+  if (At.Clock_ && At.LookFailures_ == 0 && !At.Runs_.empty())
+    Order.LeaseUntilMs_ = grantLease(At);
+  bool Settled = At.Known_ && At.LookFailures_ == 0 && !At.Runs_.empty() &&
+                 At.PendingEnds_.empty();
+  bool Doubts = std::any_of(
+      At.Runs_.begin(), At.Runs_.end(), [](const Run *Each) {
+        return Each->Phase_ == RunPhase::Doubtful ||
+               (Each->Phase_ == RunPhase::Stopping && Each->StopAnsweredAt_);
+      });
+  if (Settled && !Doubts)
+    Order.Wait_ = Settings_.Times_.LookWait_;
+  At.LookInFlight_ = true;
+  At.LookSentAt_ = now();
+  At.AcknowledgedSent_ = At.Acknowledged_;
+  uint64_t Serial = ++At.LookSerial_;
+  Port_.look(addressOf(At), Order,
+             [Weak = weak_from_this(), Id = At.Info_.Id_,
+              Born = At.Info_.Born_, Serial](LookReply Reply) {
+               if (auto Self = Weak.lock())
+                 Self->lookAnswered(Id, Born, Serial, std::move(Reply));
+             });
+}
+
+void Coordinator::Impl::lookAnswered(const std::string &Id, int64_t Born,
+                                     uint64_t Serial, LookReply Reply) {
+  auto It = Workers_.find(Id);
+  if (It == Workers_.end() || It->second->LookSerial_ != Serial ||
+      (Born != 0 && It->second->Info_.Born_ != Born) || Superseded_)
+    return;
+  Worker &At = *It->second;
+  At.LookInFlight_ = false;
+  if (Reply.Status_ == OrderStatus::Fenced) {
+    fenced("look", At);
+    return;
+  }
+  if (Reply.Status_ == OrderStatus::WrongLife) {
+    endLife(At, "another-life-answered");
+    return;
+  }
+  if (Reply.Status_ != OrderStatus::Accepted) {
+    lookFailed(At, Reply.Status_);
+    return;
+  }
+  if (At.Info_.Born_ != 0 && Reply.Lists_.Born_ != 0 &&
+      At.Info_.Born_ != Reply.Lists_.Born_) {
+    endLife(At, "reborn");
+    return;
+  }
+  takeLists(At, Reply.Lists_, At.LookSentAt_);
+}
+
+void Coordinator::Impl::lookFailed(Worker &At, OrderStatus Status) {
+  ++At.LookFailures_;
+  if (At.LookFailures_ == UnreachableAfter)
+    base::logEvent(base::LogLevel::Warn, "worker-unreachable",
+                   {{"worker", At.Info_.Id_},
+                    {"status", static_cast<int64_t>(Status)},
+                    {"runs", static_cast<int64_t>(At.Runs_.size())},
+                    {"lease_left_ms", millis(At.LeaseBound_ - now())}});
+  At.NextLookAt_ =
+      now() + std::min<base::Duration>(LookRetryMax,
+                                       LookRetry * At.LookFailures_);
+}
+
+void Coordinator::Impl::takeLists(Worker &At, const WorkerLists &Lists,
+                                  base::TimePoint SentAt) {
+  if (At.LookFailures_ >= UnreachableAfter)
+    base::logEvent(base::LogLevel::Info, "worker-reachable",
+                   {{"worker", At.Info_.Id_}});
+  At.LookFailures_ = 0;
+  if (!At.Known_) {
+    At.Known_ = true;
+    PassWanted_ = true;
+  }
+  noteClock(At, Lists.ClockMs_);
+  std::string Id = At.Info_.Id_;
+  // Runs of an earlier term are adopted before their ends are taken.
+  for (const RunningRow &Row : Lists.Running_) {
+    Run *Which = runOn(At, Row.Task_, Row.Run_);
+    if (Which == nullptr) {
+      adopt(At, Row);
+      continue;
+    }
+    if (Which->Percent_ != Row.Percent_ ||
+        Which->Checkpoint_ != Row.Checkpoint_)
+      Which->ProgressAt_ = now();
+    Which->Percent_ = Row.Percent_;
+    Which->Load_ = Row.Load_;
+    if (!Row.Checkpoint_.empty())
+      Which->Checkpoint_ = Row.Checkpoint_;
+    if (Which->Phase_ == RunPhase::Ordered ||
+        Which->Phase_ == RunPhase::Doubtful)
+      Which->Phase_ = RunPhase::Running;
+  }
+  for (const EndedRow &Row : Lists.Ended_) {
+    if (Row.Number_ <= At.LastEnd_)
+      continue;
+    At.LastEnd_ = Row.Number_;
+    runEnded(At, Row);
+    Job *Owner = findJob(Row.Task_.Job_);
+    if (Owner != nullptr && Owner->Version_ > Owner->DurableVersion_)
+      At.PendingEnds_.push_back({Row.Number_, Owner->Id_, Owner->Version_});
+    else if (At.PendingEnds_.empty())
+      At.Acknowledged_ = Row.Number_;
+    else
+      At.PendingEnds_.push_back({Row.Number_, "", 0});
+  }
+  reconcile(At, Lists, SentAt);
+  protectTails(At);
+  At.NextLookAt_ = At.PendingEnds_.empty() ? now() : now() + UndurableLookPause;
+}
+
+// A run that the worker lists neither as running nor as ended is over, if the
+// worker was asked after it had answered the order.
+void Coordinator::Impl::reconcile(Worker &At, const WorkerLists &Lists,
+                                  base::TimePoint SentAt) {
+  for (Run *Which : std::vector<Run *>(At.Runs_)) {
+    bool Listed = std::any_of(
+        Lists.Running_.begin(), Lists.Running_.end(),
+        [&](const RunningRow &Row) {
+          return Row.Run_ == Which->Number_ && Row.Task_.At_ == Which->At_ &&
+                 Row.Task_.Job_ == Which->Job_->Id_;
+        });
+    if (Listed)
+      continue;
+    if (Which->Phase_ == RunPhase::Doubtful && SentAt >= Which->Since_)
+      requestStop(*Which, "start-unanswered");
+    else if (Which->Phase_ == RunPhase::Running && SentAt > Which->Since_)
+      requestStop(*Which, "not-listed");
+    else if (Which->Phase_ == RunPhase::Stopping && Which->StopAnsweredAt_ &&
+             SentAt > *Which->StopAnsweredAt_)
+      runVanished(*Which, "stopped-before-start");
+  }
+}
+
+void Coordinator::Impl::adopt(Worker &At, const RunningRow &Row) {
+  Task *Of = findTask(Row.Task_);
+  Job *Owner = findJob(Row.Task_.Job_);
+  if (Of == nullptr) {
+    base::logEvent(base::LogLevel::Warn, "unknown-task-stopped",
+                   {{"task", taskName(Row.Task_)},
+                    {"run", Row.Run_},
+                    {"worker", At.Info_.Id_}});
+    Port_.stop(addressOf(At), {Row.Task_, Row.Run_, Settings_.Term_},
+               [](const OrderReply &) {
+                 // The run shows in the next look if the stop was lost.
+               });
+    return;
+  }
+  StepWork &Step = *findStep(*Owner, Row.Task_.At_);
+  Run &Made = makeRun(Step, *Of, At, Row.Run_);
+  Made.Phase_ = RunPhase::Running;
+  Made.Percent_ = Row.Percent_;
+  Made.Load_ = Row.Load_;
+  Made.Checkpoint_ = Row.Checkpoint_;
+  Owner->NextRun_ = std::max(Owner->NextRun_, Row.Run_ + 1);
+  markStarted(*Owner);
+  base::logEvent(base::LogLevel::Info, "task-adopted",
+                 {{"task", taskName(Row.Task_)},
+                  {"run", Row.Run_},
+                  {"worker", At.Info_.Id_},
+                  {"percent", Row.Percent_}});
+  bool Extra = Of->Runs_.size() > 1 && !Step.Spec_->Speculative_;
+  if (isFinal(Owner->State_) || Of->Done_ || Extra)
+    requestStop(Made, "not-wanted");
+}
+
+void Coordinator::Impl::endLife(Worker &Of, const char *Reason) {
+  std::string Id = Of.Info_.Id_;
+  base::logEvent(base::LogLevel::Info, "worker-gone",
+                 {{"worker", Id},
+                  {"reason", Reason},
+                  {"runs", static_cast<int64_t>(Of.Runs_.size())}});
+  for (Run *Which : std::vector<Run *>(Of.Runs_))
+    runVanished(*Which, Reason);
+  WorkerOrder_.erase(
+      std::remove(WorkerOrder_.begin(), WorkerOrder_.end(), &Of),
+      WorkerOrder_.end());
+  WorkerInfo Info = Of.Info_;
+  bool Listed = Of.Listed_;
+  Workers_.erase(Id);
+  UsedWorkersDirty_ = true;
+  PassWanted_ = true;
+  // The registry names the id for its present life already or soon will.
+  if (Listed) {
+    Info.Born_ = 0;
+    makeWorker(Info);
+  }
+}
+
+void Coordinator::Impl::prepareHandover() {
+  for (auto &[Id, Each] : Workers_) {
+    if (Each->Runs_.empty() || !Each->Clock_ || !reachable(*Each))
+      continue;
+    LookOrder Order;
+    Order.Token_ = Settings_.Term_;
+    Order.AcknowledgedEnd_ = Each->Acknowledged_;
+    Order.LeaseUntilMs_ = grantLease(*Each);
+    Port_.look(addressOf(*Each), Order, [](const LookReply &) {
+      // The successor reads the lists itself.
+    });
+  }
+  Superseded_ = true;
+}
+
+} // namespace crocuslead::jobs
--- a/src/partition/Partition.cpp
+++ b/src/partition/Partition.cpp
@@ -25,7 +25,7 @@
   Impl_->configure(Config, FleetCapacity, Now);
 }
 
-void Partition::setWorkers(const std::vector<platform::InstanceEntry> &Workers,
+void Partition::setWorkers(const std::vector<cluster::InstanceEntry> &Workers,
                            base::TimePoint Now) {
   Impl_->setWorkers(Workers, Now);
 }
@@ -57,7 +57,7 @@
 
 void Partition::workerReply(
     uint64_t Token,
-    const std::variant<platform::WorkerReply, base::Error> &Reply,
+    const std::variant<cluster::WorkerReply, base::Error> &Reply,
     base::TimePoint Now) {
   Impl_->workerReply(Token, Reply, Now);
 }
--- a/src/partition/Partition.h
+++ b/src/partition/Partition.h
@@ -2,10 +2,10 @@
 
 #include "base/Clock.h"
 #include "base/Error.h"
+#include "cluster/InstanceList.h"
+#include "cluster/WorkerGateway.h"
 #include "config/Model.h"
 #include "partition/Job.h"
-#include "platform/InstanceList.h"
-#include "platform/WorkerGateway.h"
 #include "schedule/Planner.h"
 #include "store/KeyValueStore.h"
 
@@ -72,7 +72,7 @@
 //! Sends one message to a worker; report with workerReply().
 struct WorkerAction {
   uint64_t Token_ = 0;
-  platform::WorkerRequest Request_;
+  cluster::WorkerRequest Request_;
 };
 
 //! Answers a submit or cancel call.
@@ -190,7 +190,7 @@
   void configure(const config::Configuration &Config,
                  const base::Resources &FleetCapacity, base::TimePoint Now);
   //! Workers that belong to this partition, as the instance list has them.
-  void setWorkers(const std::vector<platform::InstanceEntry> &Workers,
+  void setWorkers(const std::vector<cluster::InstanceEntry> &Workers,
                   base::TimePoint Now);
   void setPeerSummaries(std::vector<PartitionSummary> Summaries);
 
@@ -202,10 +202,9 @@
   void readBackDone(uint64_t Sequence,
                     const std::optional<store::KeyValue> &Found,
                     base::TimePoint Now);
-  void
-  workerReply(uint64_t Token,
-              const std::variant<platform::WorkerReply, base::Error> &Reply,
-              base::TimePoint Now);
+  void workerReply(uint64_t Token,
+                   const std::variant<cluster::WorkerReply, base::Error> &Reply,
+                   base::TimePoint Now);
   void transferOffered(const std::string &FromPartition,
                        const std::string &Record, uint64_t Number,
                        base::TimePoint Now);
--- a/src/partition/internal/Attempts.cpp
+++ b/src/partition/internal/Attempts.cpp
@@ -4,7 +4,7 @@
 
 namespace crocuslead::partition {
 
-using platform::CommandKind;
+using cluster::CommandKind;
 
 namespace {
 
@@ -50,7 +50,7 @@
   // The worker keeps its record of the attempt until the end is durable.
   auto Durable = [this, Key, Worker, Name, Attempt](base::TimePoint) {
     Ending_.erase(Key);
-    platform::WorkerCommand Forget;
+    cluster::WorkerCommand Forget;
     Forget.Kind_ = CommandKind::Forget;
     Forget.Task_ = Name;
     Forget.Attempt_ = Attempt;
--- a/src/partition/internal/Impl.h
+++ b/src/partition/internal/Impl.h
@@ -84,8 +84,8 @@
   uint64_t Token_ = 0;
   base::TimePoint SentAt_;
   base::Duration Grant_{0};
-  std::vector<platform::WorkerCommand> InFlight_;
-  std::vector<platform::WorkerCommand> Outbox_;
+  std::vector<cluster::WorkerCommand> InFlight_;
+  std::vector<cluster::WorkerCommand> Outbox_;
   base::TimePoint NextRenewAt_;
   base::TimePoint NextReportAt_;
   base::TimePoint NextPollAt_ = base::TimePoint::max();
@@ -112,16 +112,15 @@
                              base::TimePoint Now, base::WallTime Wall);
   void configure(const config::Configuration &Config,
                  const base::Resources &FleetCapacity, base::TimePoint Now);
-  void setWorkers(const std::vector<platform::InstanceEntry> &Workers,
+  void setWorkers(const std::vector<cluster::InstanceEntry> &Workers,
                   base::TimePoint Now);
   void setPeerSummaries(std::vector<PartitionSummary> Summaries);
   void submit(uint64_t Call, const JobSpec &Job, base::TimePoint Now,
               base::WallTime Wall);
   void cancel(uint64_t Call, const std::string &JobId);
-  void
-  workerReply(uint64_t Token,
-              const std::variant<platform::WorkerReply, base::Error> &Reply,
-              base::TimePoint Now);
+  void workerReply(uint64_t Token,
+                   const std::variant<cluster::WorkerReply, base::Error> &Reply,
+                   base::TimePoint Now);
   void transferOffered(const std::string &From, const std::string &Record,
                        uint64_t Number, base::TimePoint Now);
   void transferAccepted(const std::string &JobId, uint64_t Number);
@@ -185,8 +184,8 @@
   // Workers.cpp: messages and leases.
   WorkerLink &workerByName(const std::string &Id);
   void publishWorker(WorkerLink &Worker);
-  void queueCommand(LiveTask &Task, platform::CommandKind Kind);
-  platform::WorkerCommand startCommand(const LiveTask &Task) const;
+  void queueCommand(LiveTask &Task, cluster::CommandKind Kind);
+  cluster::WorkerCommand startCommand(const LiveTask &Task) const;
   base::Duration grantNow(base::TimePoint Now) const;
   base::Duration withMargin(base::Duration Wait) const;
   int64_t workerClock(const WorkerLink &Worker, base::TimePoint Now) const;
@@ -201,16 +200,16 @@
   // Reports.cpp: worker replies.
   void messageFailed(WorkerLink &Worker, base::TimePoint Now);
   void readCommandReplies(const WorkerLink &Worker,
-                          const platform::WorkerReply &Reply,
+                          const cluster::WorkerReply &Reply,
                           base::TimePoint Now);
-  void readReport(WorkerLink &Worker, const platform::WorkerReply &Reply,
+  void readReport(WorkerLink &Worker, const cluster::WorkerReply &Reply,
                   bool Restarted, base::TimePoint Now);
-  void readAttempt(WorkerLink &Worker, const platform::AttemptReport &Report,
+  void readAttempt(WorkerLink &Worker, const cluster::AttemptReport &Report,
                    base::TimePoint Now);
-  void readActive(LiveTask &Task, const platform::AttemptReport &Report,
+  void readActive(LiveTask &Task, const cluster::AttemptReport &Report,
                   base::TimePoint Now);
-  void readUnknown(WorkerLink &Worker, const platform::AttemptReport &Report);
-  void countUsage(LiveTask &Task, const platform::AttemptReport &Report,
+  void readUnknown(WorkerLink &Worker, const cluster::AttemptReport &Report);
+  void countUsage(LiveTask &Task, const cluster::AttemptReport &Report,
                   base::TimePoint Now);
   int64_t estimateOf(const LiveTask &Task);
 
--- a/src/partition/internal/Planning.cpp
+++ b/src/partition/internal/Planning.cpp
@@ -6,7 +6,7 @@
 
 namespace crocuslead::partition {
 
-using platform::CommandKind;
+using cluster::CommandKind;
 using schedule::DecisionKind;
 
 namespace {
@@ -217,7 +217,7 @@
         Task.Dispatch_ == Dispatch::Undurable)
       return;
     queueCommand(Task, CommandKind::Throttle);
-    for (platform::WorkerCommand &Command : Workers_[Task.Worker_].Outbox_)
+    for (cluster::WorkerCommand &Command : Workers_[Task.Worker_].Outbox_)
       if (Command.Kind_ == CommandKind::Throttle &&
           Command.Task_ == nameOf(Task))
         Command.ThrottlePercent_ = Choice.ThrottlePercent_;
--- a/src/partition/internal/Reports.cpp
+++ b/src/partition/internal/Reports.cpp
@@ -4,9 +4,9 @@
 
 namespace crocuslead::partition {
 
-using platform::AttemptState;
-using platform::CommandKind;
-using platform::CommandStatus;
+using cluster::AttemptState;
+using cluster::CommandKind;
+using cluster::CommandStatus;
 
 namespace {
 
@@ -25,7 +25,7 @@
 
 void Partition::Impl::workerReply(
     uint64_t Token,
-    const std::variant<platform::WorkerReply, base::Error> &Reply,
+    const std::variant<cluster::WorkerReply, base::Error> &Reply,
     base::TimePoint Now) {
   auto Found = Tokens_.find(Token);
   if (Found == Tokens_.end() || Journal_.fenced())
@@ -34,7 +34,7 @@
   WorkerLink &Worker = Workers_[Found->second];
   Tokens_.erase(Found);
   Worker.Token_ = 0;
-  const auto *Answer = std::get_if<platform::WorkerReply>(&Reply);
+  const auto *Answer = std::get_if<cluster::WorkerReply>(&Reply);
   if (Answer == nullptr) {
     messageFailed(Worker, Now);
     Worker.InFlight_.clear();
@@ -74,18 +74,18 @@
 }
 
 void Partition::Impl::readCommandReplies(const WorkerLink &Worker,
-                                         const platform::WorkerReply &Reply,
+                                         const cluster::WorkerReply &Reply,
                                          base::TimePoint Now) {
   std::size_t Count = std::min(Worker.InFlight_.size(), Reply.Commands_.size());
   for (std::size_t I = 0; I < Count; ++I) {
-    const platform::WorkerCommand &Command = Worker.InFlight_[I];
+    const cluster::WorkerCommand &Command = Worker.InFlight_[I];
     if (Command.Kind_ != CommandKind::Start)
       continue;
     LiveTask *Task = findTask(Command.Task_);
     if (Task == nullptr || Task->Dispatch_ != Dispatch::Sent ||
         record(*Task).Attempt_ != Command.Attempt_)
       continue;
-    const platform::CommandReply &Result = Reply.Commands_[I];
+    const cluster::CommandReply &Result = Reply.Commands_[I];
     if (Result.Status_ == CommandStatus::Done) {
       Task->Dispatch_ = Dispatch::Known;
       continue;
@@ -99,13 +99,13 @@
 }
 
 void Partition::Impl::readReport(WorkerLink &Worker,
-                                 const platform::WorkerReply &Reply,
+                                 const cluster::WorkerReply &Reply,
                                  bool Restarted, base::TimePoint Now) {
   if (!Restarted && Reply.ReportSequence_ <= Worker.ReportSequence_)
     return;
   Worker.ReportSequence_ = Reply.ReportSequence_;
   std::set<TaskNumber> Missing = Worker.Active_;
-  for (const platform::AttemptReport &Report : Reply.Attempts_) {
+  for (const cluster::AttemptReport &Report : Reply.Attempts_) {
     LiveTask *Task = findTask(Report.Task_);
     if (Task != nullptr && record(*Task).Attempt_ == Report.Attempt_)
       Missing.erase(Task->Job_->FirstTask_ + Task->Index_);
@@ -133,7 +133,7 @@
 }
 
 void Partition::Impl::readAttempt(WorkerLink &Worker,
-                                  const platform::AttemptReport &Report,
+                                  const cluster::AttemptReport &Report,
                                   base::TimePoint Now) {
   LiveTask *Task = findTask(Report.Task_);
   bool Active = Task != nullptr && holdsWorker(record(*Task).State_) &&
@@ -147,15 +147,15 @@
 }
 
 void Partition::Impl::readUnknown(WorkerLink &Worker,
-                                  const platform::AttemptReport &Report) {
+                                  const cluster::AttemptReport &Report) {
   if (Ending_.count(Report.Task_ + "#" + std::to_string(Report.Attempt_)) != 0)
     return;
-  platform::WorkerCommand Command;
+  cluster::WorkerCommand Command;
   Command.Kind_ =
       isOver(Report.State_) ? CommandKind::Forget : CommandKind::Stop;
   Command.Task_ = Report.Task_;
   Command.Attempt_ = Report.Attempt_;
-  for (const platform::WorkerCommand &Queued : Worker.Outbox_)
+  for (const cluster::WorkerCommand &Queued : Worker.Outbox_)
     if (Queued.Kind_ == Command.Kind_ && Queued.Task_ == Command.Task_ &&
         Queued.Attempt_ == Command.Attempt_)
       return;
@@ -163,7 +163,7 @@
 }
 
 void Partition::Impl::readActive(LiveTask &Task,
-                                 const platform::AttemptReport &Report,
+                                 const cluster::AttemptReport &Report,
                                  base::TimePoint Now) {
   Task.Dispatch_ = Dispatch::Known;
   TaskNumber Number = Task.Job_->FirstTask_ + Task.Index_;
@@ -207,7 +207,7 @@
 }
 
 void Partition::Impl::countUsage(LiveTask &Task,
-                                 const platform::AttemptReport &Report,
+                                 const cluster::AttemptReport &Report,
                                  base::TimePoint Now) {
   const TaskRecord &Record = record(Task);
   if (Task.ExpectedEnd_ <= Now) {
--- a/src/partition/internal/Workers.cpp
+++ b/src/partition/internal/Workers.cpp
@@ -4,7 +4,7 @@
 
 namespace crocuslead::partition {
 
-using platform::CommandKind;
+using cluster::CommandKind;
 
 namespace {
 
@@ -38,7 +38,7 @@
 }
 
 void Partition::Impl::setWorkers(
-    const std::vector<platform::InstanceEntry> &Workers, base::TimePoint Now) {
+    const std::vector<cluster::InstanceEntry> &Workers, base::TimePoint Now) {
   for (WorkerLink &Worker : Workers_)
     Worker.Listed_ = false;
   auto NumberOf = [](std::map<std::string, uint32_t> &Table,
@@ -46,12 +46,12 @@
     return Table.try_emplace(Name, static_cast<uint32_t>(Table.size()))
         .first->second;
   };
-  for (const platform::InstanceEntry &Listed : Workers) {
+  for (const cluster::InstanceEntry &Listed : Workers) {
     if (Listed.AgentAddress_.empty())
       continue;
     WorkerLink &Worker = workerByName(Listed.Id_);
     Worker.Listed_ = true;
-    Worker.Leaving_ = Listed.State_ == platform::InstanceState::Leaving;
+    Worker.Leaving_ = Listed.State_ == cluster::InstanceState::Leaving;
     Worker.Address_ = Listed.AgentAddress_;
     Worker.Domain_ = Listed.Domain_;
     Worker.Info_.Capacity_ = Listed.Capacity_;
@@ -82,10 +82,10 @@
   Worker.InPlanner_ = true;
 }
 
-platform::WorkerCommand
+cluster::WorkerCommand
 Partition::Impl::startCommand(const LiveTask &Task) const {
   const JobRecord &Job = jobOf(Task);
-  platform::WorkerCommand Command;
+  cluster::WorkerCommand Command;
   Command.Kind_ = CommandKind::Start;
   Command.Task_ = nameOf(Task);
   Command.Attempt_ = Job.Tasks_[Task.Index_].Attempt_;
@@ -100,13 +100,13 @@
 
 void Partition::Impl::queueCommand(LiveTask &Task, CommandKind Kind) {
   WorkerLink &Worker = Workers_[Task.Worker_];
-  platform::WorkerCommand Command;
+  cluster::WorkerCommand Command;
   if (Kind == CommandKind::Start)
     Command = startCommand(Task);
   Command.Kind_ = Kind;
   Command.Task_ = nameOf(Task);
   Command.Attempt_ = record(Task).Attempt_;
-  for (const platform::WorkerCommand &Queued : Worker.Outbox_)
+  for (const cluster::WorkerCommand &Queued : Worker.Outbox_)
     if (Queued.Kind_ == Kind && Queued.Task_ == Command.Task_ &&
         Queued.Attempt_ == Command.Attempt_)
       return;
@@ -141,9 +141,9 @@
 }
 
 void Partition::Impl::dropLateStarts(WorkerLink &Worker, base::TimePoint Now) {
-  std::vector<platform::WorkerCommand> Kept;
+  std::vector<cluster::WorkerCommand> Kept;
   std::vector<LiveTask *> Late;
-  for (platform::WorkerCommand &Command : Worker.Outbox_) {
+  for (cluster::WorkerCommand &Command : Worker.Outbox_) {
     if (Command.Kind_ != CommandKind::Start) {
       Kept.push_back(std::move(Command));
       continue;
@@ -188,7 +188,7 @@
   Out.Request_.LeaseMs_ = base::toMillis(Worker.Grant_);
   if (Worker.Reachable_)
     Worker.InFlight_.swap(Worker.Outbox_);
-  for (const platform::WorkerCommand &Command : Worker.InFlight_) {
+  for (const cluster::WorkerCommand &Command : Worker.InFlight_) {
     if (Command.Kind_ != CommandKind::Start)
       continue;
     // The deadline is a reading of this incarnation's clock.
--- a/src/store/Base64.cpp
+++ b/src/store/Base64.cpp
@@ -1,9 +1,9 @@
-#include "store/internal/Base64.h"
+#include "store/Base64.h"
 
 #include <algorithm>
 #include <openssl/evp.h>
 
-namespace crocuslead::store::internal {
+namespace crocuslead::store {
 
 namespace {
 
@@ -48,4 +48,4 @@
   return Out;
 }
 
-} // namespace crocuslead::store::internal
+} // namespace crocuslead::store
--- a/src/store/internal/Base64.h
+++ b/src/store/Base64.h
@@ -4,10 +4,10 @@
 #include <string>
 #include <string_view>
 
-namespace crocuslead::store::internal {
+namespace crocuslead::store {
 
 std::string encodeBase64(std::string_view Bytes);
 //! Nothing for text that is not padded base64.
 std::optional<std::string> decodeBase64(std::string_view Text);
 
-} // namespace crocuslead::store::internal
+} // namespace crocuslead::store
--- a/src/store/EtcdCodec.cpp
+++ b/src/store/EtcdCodec.cpp
@@ -1,6 +1,6 @@
 #include "store/internal/EtcdCodec.h"
 
-#include "store/internal/Base64.h"
+#include "store/Base64.h"
 
 #include <algorithm>
 #include <charconv>
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -1,6 +1,6 @@
 #include "StoreStandin.h"
 
-#include "store/internal/Base64.h"
+#include "store/Base64.h"
 
 #include <cctype>
 #include <chrono>
@@ -10,8 +10,8 @@
 namespace {
 
 using nlohmann::json;
-using store::internal::decodeBase64;
-using store::internal::encodeBase64;
+using store::decodeBase64;
+using store::encodeBase64;
 
 //! Finds a field by its name in the protocol definition or in the camel-case
 //! form of its JSON mapping; both are valid.
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -1,6 +1,6 @@
 #include "WorkerStandin.h"
 
-#include "platform/WorkerCodec.h"
+#include "cluster/WorkerCodec.h"
 
 #include <asio/steady_timer.hpp>
 #include <cstdlib>
@@ -9,10 +9,10 @@
 
 namespace {
 
+using cluster::AttemptState;
+using cluster::CommandReply;
+using cluster::CommandStatus;
 using nlohmann::json;
-using platform::AttemptState;
-using platform::CommandReply;
-using platform::CommandStatus;
 
 constexpr auto CheckpointTime = std::chrono::milliseconds(200);
 constexpr const char *BusyHeader = "Crocuslead-Worker-Busy";
@@ -48,20 +48,20 @@
 
 void WorkerStandin::agent(const http::Request &Request,
                           const std::shared_ptr<http::Responder> &Out) {
-  static const std::map<platform::CommandKind, Execute> Commands = {
-      {platform::CommandKind::Start, &WorkerStandin::start},
-      {platform::CommandKind::Stop, &WorkerStandin::stop},
-      {platform::CommandKind::CheckpointStop, &WorkerStandin::checkpointStop},
-      {platform::CommandKind::Throttle, &WorkerStandin::throttle},
-      {platform::CommandKind::Forget, &WorkerStandin::forget}};
-  auto Decoded = platform::decodeRequest(Request.Body_);
+  static const std::map<cluster::CommandKind, Execute> Commands = {
+      {cluster::CommandKind::Start, &WorkerStandin::start},
+      {cluster::CommandKind::Stop, &WorkerStandin::stop},
+      {cluster::CommandKind::CheckpointStop, &WorkerStandin::checkpointStop},
+      {cluster::CommandKind::Throttle, &WorkerStandin::throttle},
+      {cluster::CommandKind::Forget, &WorkerStandin::forget}};
+  auto Decoded = cluster::decodeRequest(Request.Body_);
   if (!Decoded) {
     Out->send({400, {}, "malformed request"});
     return;
   }
   advance();
-  const platform::WorkerRequest &Message = Decoded.value();
-  platform::WorkerReply Reply;
+  const cluster::WorkerRequest &Message = Decoded.value();
+  cluster::WorkerReply Reply;
   Reply.EpochRefused_ = Message.Epoch_ < HighestEpoch_;
   if (!Reply.EpochRefused_) {
     HighestEpoch_ = Message.Epoch_;
@@ -69,20 +69,19 @@
       LeaseEnd_ = Clock_.now() + std::chrono::milliseconds(Message.LeaseMs_);
     bool Known = Message.ExpectedIncarnation_.empty() ||
                  Message.ExpectedIncarnation_ == incarnation();
-    for (const platform::WorkerCommand &Command : Message.Commands_)
+    for (const cluster::WorkerCommand &Command : Message.Commands_)
       Reply.Commands_.push_back(
-          Known || Command.Kind_ != platform::CommandKind::Start
+          Known || Command.Kind_ != cluster::CommandKind::Start
               ? (this->*Commands.at(Command.Kind_))(Command)
               : CommandReply{CommandStatus::Refused, "incarnation"});
     Reply.HasReport_ = Message.WantReport_;
     for (const auto &[Key, Each] : Attempts_)
       Reply.Attempts_.push_back(report(Each));
-    for (const platform::AttemptReport &Each : Reply.Attempts_)
-      if (Message.WantReport_ &&
-          Each.State_ == platform::AttemptState::Finished)
+    for (const cluster::AttemptReport &Each : Reply.Attempts_)
+      if (Message.WantReport_ && Each.State_ == cluster::AttemptState::Finished)
         Watch_.finishReported(Each.Task_);
     Reply.Changed_ = !Message.WantReport_ &&
-                     platform::hasChanged(LastReport_, Reply.Attempts_);
+                     cluster::hasChanged(LastReport_, Reply.Attempts_);
     if (!Message.WantReport_)
       Reply.Attempts_.clear();
   }
@@ -91,16 +90,16 @@
   Reply.Incarnation_ = incarnation();
   if (Reply.HasReport_)
     Reply.ReportSequence_ = ++ReportSequence_;
-  platform::ReportBase Former = LastReport_;
+  cluster::ReportBase Former = LastReport_;
   if (Reply.HasReport_)
-    LastReport_ = platform::makeReportBase(Reply, HighestEpoch_);
+    LastReport_ = cluster::makeReportBase(Reply, HighestEpoch_);
   if (!Reply.EpochRefused_ && Message.KnownReport_ != 0 &&
       Message.KnownReport_ == Former.token() && Former.Epoch_ == HighestEpoch_)
     packReply(Reply, Former);
-  Out->send({200, {}, platform::encodeReply(Reply)});
+  Out->send({200, {}, cluster::encodeReply(Reply)});
 }
 
-CommandReply WorkerStandin::start(const platform::WorkerCommand &Command) {
+CommandReply WorkerStandin::start(const cluster::WorkerCommand &Command) {
   AttemptKey Key{Command.Task_, Command.Attempt_};
   if (Attempts_.count(Key) != 0)
     return {CommandStatus::Done, ""};
@@ -124,7 +123,7 @@
   return {CommandStatus::Done, ""};
 }
 
-CommandReply WorkerStandin::stop(const platform::WorkerCommand &Command) {
+CommandReply WorkerStandin::stop(const cluster::WorkerCommand &Command) {
   auto Found = Attempts_.find({Command.Task_, Command.Attempt_});
   if (Found != Attempts_.end() && !hasEnded(Found->second.State_))
     end(Found->second, AttemptState::Stopped, false);
@@ -132,7 +131,7 @@
 }
 
 CommandReply
-WorkerStandin::checkpointStop(const platform::WorkerCommand &Command) {
+WorkerStandin::checkpointStop(const cluster::WorkerCommand &Command) {
   auto Found = Attempts_.find({Command.Task_, Command.Attempt_});
   if (Found != Attempts_.end() &&
       Found->second.State_ == AttemptState::Running) {
@@ -142,14 +141,14 @@
   return {CommandStatus::Done, ""};
 }
 
-CommandReply WorkerStandin::throttle(const platform::WorkerCommand &Command) {
+CommandReply WorkerStandin::throttle(const cluster::WorkerCommand &Command) {
   auto Found = Attempts_.find({Command.Task_, Command.Attempt_});
   if (Found != Attempts_.end())
     Found->second.ThrottlePercent_ = Command.ThrottlePercent_;
   return {CommandStatus::Done, ""};
 }
 
-CommandReply WorkerStandin::forget(const platform::WorkerCommand &Command) {
+CommandReply WorkerStandin::forget(const cluster::WorkerCommand &Command) {
   auto Found = Attempts_.find({Command.Task_, Command.Attempt_});
   if (Found != Attempts_.end() && hasEnded(Found->second.State_))
     Attempts_.erase(Found);
@@ -213,8 +212,8 @@
   return base::toMillis(Clock_.now().time_since_epoch());
 }
 
-platform::AttemptReport WorkerStandin::report(const Attempt &Source) const {
-  platform::AttemptReport Out;
+cluster::AttemptReport WorkerStandin::report(const Attempt &Source) const {
+  cluster::AttemptReport Out;
   Out.Task_ = Source.Command_.Task_;
   Out.Attempt_ = Source.Command_.Attempt_;
   Out.State_ = Source.State_;
--- a/standins/WorkerStandin.h
+++ b/standins/WorkerStandin.h
@@ -2,8 +2,8 @@
 
 #include "Observer.h"
 #include "base/Clock.h"
+#include "cluster/ReportDelta.h"
 #include "http/Server.h"
-#include "platform/ReportDelta.h"
 
 #include <asio/io_context.hpp>
 #include <cstdint>
@@ -56,31 +56,31 @@
 
 private:
   struct Attempt {
-    platform::WorkerCommand Command_;
-    platform::AttemptState State_ = platform::AttemptState::Running;
+    cluster::WorkerCommand Command_;
+    cluster::AttemptState State_ = cluster::AttemptState::Running;
     double DoneMs_ = 0;
     double RunMs_ = 0;
     int ThrottlePercent_ = 0;
     base::TimePoint CheckpointDone_;
   };
   using AttemptKey = std::pair<std::string, uint32_t>;
-  using Execute = platform::CommandReply (WorkerStandin::*)(
-      const platform::WorkerCommand &);
+  using Execute =
+      cluster::CommandReply (WorkerStandin::*)(const cluster::WorkerCommand &);
 
   void agent(const http::Request &Request,
              const std::shared_ptr<http::Responder> &Out);
   void serve(http::Request Request,
              const std::shared_ptr<http::Responder> &Out);
-  platform::CommandReply start(const platform::WorkerCommand &Command);
-  platform::CommandReply stop(const platform::WorkerCommand &Command);
-  platform::CommandReply checkpointStop(const platform::WorkerCommand &Command);
-  platform::CommandReply throttle(const platform::WorkerCommand &Command);
-  platform::CommandReply forget(const platform::WorkerCommand &Command);
-  void end(Attempt &Target, platform::AttemptState State, bool Checkpoint);
+  cluster::CommandReply start(const cluster::WorkerCommand &Command);
+  cluster::CommandReply stop(const cluster::WorkerCommand &Command);
+  cluster::CommandReply checkpointStop(const cluster::WorkerCommand &Command);
+  cluster::CommandReply throttle(const cluster::WorkerCommand &Command);
+  cluster::CommandReply forget(const cluster::WorkerCommand &Command);
+  void end(Attempt &Target, cluster::AttemptState State, bool Checkpoint);
   base::Resources held() const;
   std::string incarnation() const;
   int64_t clockMs() const;
-  platform::AttemptReport report(const Attempt &Source) const;
+  cluster::AttemptReport report(const Attempt &Source) const;
 
   asio::io_context &Loop_;
   WorkerSpec Spec_;
@@ -91,7 +91,7 @@
   int64_t HighestEpoch_ = 0;
   int64_t ReportSequence_ = 0;
   //! The latest report, which the next reply may refer to.
-  platform::ReportBase LastReport_;
+  cluster::ReportBase LastReport_;
   uint32_t Boots_ = 1;
   base::TimePoint LeaseEnd_;
   base::TimePoint LastAdvance_;
--- a/tests/app/PartitionHost.tests.cpp
+++ b/tests/app/PartitionHost.tests.cpp
@@ -9,8 +9,8 @@
 using namespace crocuslead;
 using namespace crocuslead::tests;
 
-struct NoWorkers final : platform::WorkerGateway {
-  void send(platform::WorkerRequest /*Request*/, Callback /*Done*/) override {}
+struct NoWorkers final : cluster::WorkerGateway {
+  void send(cluster::WorkerRequest /*Request*/, Callback /*Done*/) override {}
 };
 
 //! One instance on one partition, d-0.
--- a/tests/app/RequestPath.tests.cpp
+++ b/tests/app/RequestPath.tests.cpp
@@ -52,7 +52,7 @@
     Claims_.setPartitions({{"d-0", "d", "r"}});
     Claims_.partitionAcquired("d-0", 0);
     Clock_.advance(std::chrono::seconds(25));
-    platform::InstanceEntry Entry;
+    cluster::InstanceEntry Entry;
     Entry.Id_ = "u";
     Entry.UpstreamAddress_ = "127.0.0.1:" + std::to_string(Upstream_.port());
     Entry.Domain_ = "d";
@@ -60,7 +60,7 @@
     Entry.Services_ = {"desk"};
     Entry.Slots_ = 8;
     Entry.Connections_ = 64;
-    platform::InstanceSnapshot Snapshot;
+    cluster::InstanceSnapshot Snapshot;
     Snapshot.Entries_ = {Entry};
     Path_.setLive({"a"});
     Path_.setInstances(Snapshot);
--- a/tests/platform/HttpAdapters.tests.cpp
+++ b/tests/cluster/HttpAdapters.tests.cpp
@@ -1,8 +1,8 @@
+#include "cluster/HttpInstanceList.h"
+#include "cluster/HttpWorkerGateway.h"
+#include "cluster/ReportDelta.h"
+#include "cluster/WorkerCodec.h"
 #include "http/Client.h"
-#include "platform/HttpInstanceList.h"
-#include "platform/HttpWorkerGateway.h"
-#include "platform/ReportDelta.h"
-#include "platform/WorkerCodec.h"
 
 #include "support/LoopFakes.h"
 
@@ -10,7 +10,7 @@
 #include <rapidcheck.h>
 
 using namespace crocuslead;
-using namespace crocuslead::platform;
+using namespace crocuslead::cluster;
 using base::ErrorKind;
 using tests::okAnswer;
 using tests::RawServer;
--- a/tests/platform/ReportDelta.tests.cpp
+++ b/tests/cluster/ReportDelta.tests.cpp
@@ -1,12 +1,12 @@
-#include "platform/ReportDelta.h"
-#include "platform/WorkerCodec.h"
+#include "cluster/ReportDelta.h"
+#include "cluster/WorkerCodec.h"
 
 #include <doctest/doctest.h>
 #include <limits>
 #include <rapidcheck.h>
 #include <tuple>
 
-using namespace crocuslead::platform;
+using namespace crocuslead::cluster;
 
 namespace {
 
--- a/tests/platform/WorkerCodec.tests.cpp
+++ b/tests/cluster/WorkerCodec.tests.cpp
@@ -1,10 +1,10 @@
-#include "platform/WorkerCodec.h"
+#include "cluster/WorkerCodec.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 using namespace crocuslead;
-using namespace crocuslead::platform;
+using namespace crocuslead::cluster;
 
 namespace {
 
--- a/tests/partition/Fakes.cpp
+++ b/tests/partition/Fakes.cpp
@@ -4,9 +4,9 @@
 
 namespace crocuslead::partition::test {
 
-using platform::AttemptState;
-using platform::CommandKind;
-using platform::CommandStatus;
+using cluster::AttemptState;
+using cluster::CommandKind;
+using cluster::CommandStatus;
 
 namespace {
 
@@ -90,7 +90,7 @@
     RunsOn_.erase(Found);
 }
 
-void Oracle::forgotten(const platform::AttemptReport &Report) {
+void Oracle::forgotten(const cluster::AttemptReport &Report) {
   ConfirmedCpu_ += Report.CpuMillis_;
   if (Unreported_.count(keyOf(Report.Task_, Report.Attempt_)) != 0)
     return;
@@ -100,8 +100,8 @@
   Resume = std::max(Resume, progressOf(Report.Checkpoint_));
 }
 
-platform::CommandReply FakeWorker::run(const platform::WorkerCommand &Command,
-                                       int64_t NowMs, Oracle &Rules) {
+cluster::CommandReply FakeWorker::run(const cluster::WorkerCommand &Command,
+                                      int64_t NowMs, Oracle &Rules) {
   std::string Key = keyOf(Command.Task_, Command.Attempt_);
   auto Found = Attempts_.find(Key);
   if (Command.Kind_ == CommandKind::Start) {
@@ -145,9 +145,9 @@
   return {};
 }
 
-platform::WorkerReply FakeWorker::handle(const platform::WorkerRequest &Request,
-                                         int64_t NowMs, Oracle &Rules) {
-  platform::WorkerReply Reply;
+cluster::WorkerReply FakeWorker::handle(const cluster::WorkerRequest &Request,
+                                        int64_t NowMs, Oracle &Rules) {
+  cluster::WorkerReply Reply;
   Reply.EpochRefused_ = Request.Epoch_ < HighestEpoch_;
   HighestEpoch_ = std::max(HighestEpoch_, Request.Epoch_);
   Reply.HighestEpoch_ = HighestEpoch_;
@@ -159,19 +159,19 @@
     LeaseEnd_ = NowMs + Request.LeaseMs_;
   bool Known = Request.ExpectedIncarnation_.empty() ||
                Request.ExpectedIncarnation_ == Reply.Incarnation_;
-  for (const platform::WorkerCommand &Command : Request.Commands_)
+  for (const cluster::WorkerCommand &Command : Request.Commands_)
     Reply.Commands_.push_back(
         Known || Command.Kind_ != CommandKind::Start
             ? run(Command, NowMs, Rules)
-            : platform::CommandReply{CommandStatus::Refused, "incarnation"});
+            : cluster::CommandReply{CommandStatus::Refused, "incarnation"});
   Reply.HasReport_ = Request.WantReport_;
   Reply.ReportSequence_ = ++Sequence_;
   for (const auto &[Key, Attempt] : Attempts_)
     Reply.Attempts_.push_back(Attempt.Report_);
   if (Reply.HasReport_) {
-    LastReport_ = platform::makeReportBase(Reply, HighestEpoch_);
+    LastReport_ = cluster::makeReportBase(Reply, HighestEpoch_);
   } else {
-    Reply.Changed_ = platform::hasChanged(LastReport_, Reply.Attempts_);
+    Reply.Changed_ = cluster::hasChanged(LastReport_, Reply.Attempts_);
     Reply.Attempts_.clear();
   }
   return Reply;
@@ -189,7 +189,7 @@
 
 void FakeWorker::step(int64_t NowMs, int64_t Step, Oracle &Rules) {
   for (auto &[Key, Attempt] : Attempts_) {
-    platform::AttemptReport &Report = Attempt.Report_;
+    cluster::AttemptReport &Report = Attempt.Report_;
     if (!isLive(Report.State_))
       continue;
     if (Report.State_ == AttemptState::Starting)
--- a/tests/partition/Journal.tests.cpp
+++ b/tests/partition/Journal.tests.cpp
@@ -204,7 +204,7 @@
   CHECK(periodOf(1'798'761'600'000) == "2027-01");
   Hand H;
   H.WallMs_ = 1'798'761'600'000 - 3'600'000;
-  platform::InstanceEntry Worker;
+  cluster::InstanceEntry Worker;
   Worker.Id_ = Worker.AgentAddress_ = "w0";
   Worker.Capacity_ = {1000, 1000, 0};
   H.Partition_->setWorkers({Worker}, H.now());
--- a/tests/partition/Lifecycle.tests.cpp
+++ b/tests/partition/Lifecycle.tests.cpp
@@ -67,7 +67,7 @@
   Worker.ClockOffset_ = -W.NowMs_;
   auto Reply = Worker.handle(W.LastStart_, W.NowMs_, W.Oracle_);
   REQUIRE(Reply.Commands_.size() == 1);
-  CHECK(Reply.Commands_[0].Status_ == platform::CommandStatus::Refused);
+  CHECK(Reply.Commands_[0].Status_ == cluster::CommandStatus::Refused);
   CHECK(Worker.Attempts_.empty());
   CHECK(W.Oracle_.Starts_ == 1);
 }
--- a/tests/partition/World.cpp
+++ b/tests/partition/World.cpp
@@ -1,15 +1,15 @@
 #include "World.h"
 
+#include "cluster/WorkerCodec.h"
 #include "partition/internal/Codec.h"
-#include "platform/WorkerCodec.h"
 
 #include <algorithm>
 
 namespace crocuslead::partition::test {
 
-using platform::AttemptState;
-using platform::CommandKind;
-using platform::CommandStatus;
+using cluster::AttemptState;
+using cluster::CommandKind;
+using cluster::CommandStatus;
 
 namespace {
 
@@ -53,10 +53,10 @@
   return Out;
 }
 
-std::vector<platform::InstanceEntry> World::instances() const {
-  std::vector<platform::InstanceEntry> Out;
+std::vector<cluster::InstanceEntry> World::instances() const {
+  std::vector<cluster::InstanceEntry> Out;
   for (const FakeWorker &Worker : Workers_) {
-    platform::InstanceEntry Entry;
+    cluster::InstanceEntry Entry;
     Entry.Id_ = Worker.Id_;
     Entry.AgentAddress_ = Worker.Id_;
     Entry.Domain_ = "d1";
--- a/tests/partition/World.h
+++ b/tests/partition/World.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/Random.h"
+#include "cluster/ReportDelta.h"
 #include "partition/Partition.h"
-#include "platform/ReportDelta.h"
 
 #include <functional>
 #include <map>
@@ -27,7 +27,7 @@
 };
 
 struct FakeAttempt {
-  platform::AttemptReport Report_;
+  cluster::AttemptReport Report_;
   Resources Granted_;
   int64_t RunTimeMs_ = 0;
   int64_t BaseProgressMs_ = 0;
@@ -54,7 +54,7 @@
   std::string text() const { return Faults_.empty() ? "" : Faults_.front(); }
   void started(const std::string &Worker, const FakeAttempt &Attempt);
   void over(const std::string &Worker, const std::string &Task);
-  void forgotten(const platform::AttemptReport &Report);
+  void forgotten(const cluster::AttemptReport &Report);
 };
 
 //! A worker agent: leases, epochs, its own clock.
@@ -65,7 +65,7 @@
   int Incarnation_ = 1;
   int64_t HighestEpoch_ = 0;
   int64_t Sequence_ = 0;
-  platform::ReportBase LastReport_;
+  cluster::ReportBase LastReport_;
   int64_t LeaseEnd_ = 0;
   bool FailStarts_ = false;
   bool CutOff_ = false;
@@ -74,12 +74,12 @@
   int64_t CheckpointMs_ = 1500;
   std::map<std::string, FakeAttempt> Attempts_;
 
-  platform::WorkerReply handle(const platform::WorkerRequest &Request,
-                               int64_t NowMs, Oracle &Rules);
-  platform::CommandReply run(const platform::WorkerCommand &Command,
-                             int64_t NowMs, Oracle &Rules);
+  cluster::WorkerReply handle(const cluster::WorkerRequest &Request,
+                              int64_t NowMs, Oracle &Rules);
+  cluster::CommandReply run(const cluster::WorkerCommand &Command,
+                            int64_t NowMs, Oracle &Rules);
   void step(int64_t NowMs, int64_t StepMs, Oracle &Rules);
-  void stop(FakeAttempt &Attempt, platform::AttemptState How, Oracle &Rules);
+  void stop(FakeAttempt &Attempt, cluster::AttemptState How, Oracle &Rules);
   void restart(Oracle &Rules);
 };
 
@@ -150,7 +150,7 @@
   //! Breaks the rule under test in the fake's view of leases.
   bool ForgeStops_ = false;
   //! Last message with a start, as it was sent.
-  platform::WorkerRequest LastStart_;
+  cluster::WorkerRequest LastStart_;
 
 private:
   void perform(FakeOwner &Owner, const Action &Value);
@@ -165,14 +165,14 @@
   int64_t delay() {
     return static_cast<int64_t>(Random_.below(MaxDelayMs_ + 1));
   }
-  void noteForget(const FakeOwner &Owner, const platform::WorkerRequest &To);
+  void noteForget(const FakeOwner &Owner, const cluster::WorkerRequest &To);
   void keepAlive(FakeOwner &Owner);
   void expireOwner();
   void yieldWhenQuiescent(FakeOwner &Owner);
   PartitionSettings settings(int64_t Epoch) const;
   static std::string stateText(const Partition &Of);
   config::Configuration configuration() const;
-  std::vector<platform::InstanceEntry> instances() const;
+  std::vector<cluster::InstanceEntry> instances() const;
 
   std::multimap<int64_t, std::function<void()>> Events_;
   config::DomainState Domain_ = config::DomainState::InService;
--- a/tests/partition/WorldActions.cpp
+++ b/tests/partition/WorldActions.cpp
@@ -1,15 +1,15 @@
 #include "World.h"
 
+#include "cluster/WorkerCodec.h"
 #include "partition/internal/Codec.h"
-#include "platform/WorkerCodec.h"
 
 #include <algorithm>
 
 namespace crocuslead::partition::test {
 
-using platform::AttemptState;
-using platform::CommandKind;
-using platform::CommandStatus;
+using cluster::AttemptState;
+using cluster::CommandKind;
+using cluster::CommandStatus;
 
 namespace {
 
@@ -105,8 +105,8 @@
 // An owner that gave an attempt up runs its task again, whatever the worker
 // reports of it later.
 void World::noteForget(const FakeOwner &Owner,
-                       const platform::WorkerRequest &To) {
-  for (const platform::WorkerCommand &Command : To.Commands_) {
+                       const cluster::WorkerRequest &To) {
+  for (const cluster::WorkerCommand &Command : To.Commands_) {
     if (Command.Kind_ != CommandKind::Forget)
       continue;
     auto Log = Owner.Partition_->explain(Command.Task_);
@@ -122,8 +122,7 @@
 
 void World::message(FakeOwner &Owner, const WorkerAction &Message) {
   noteForget(Owner, Message.Request_);
-  auto Wire =
-      platform::decodeRequest(platform::encodeRequest(Message.Request_));
+  auto Wire = cluster::decodeRequest(cluster::encodeRequest(Message.Request_));
   if (!Wire ||
       Wire.value().Commands_.size() != Message.Request_.Commands_.size())
     Oracle_.fault("a worker refuses a request as malformed");
@@ -156,16 +155,16 @@
       return;
     }
     uint32_t Before = Oracle_.Starts_;
-    platform::WorkerReply Reply =
+    cluster::WorkerReply Reply =
         Found->handle(Message.Request_, NowMs_, Oracle_);
     if (Oracle_.Starts_ != Before && DomainOutAt_ != 0 &&
         NowMs_ - DomainOutAt_ > 3000)
       Oracle_.fault("start after the domain was out for 3 s");
     if (ForgeStops_)
-      for (platform::AttemptReport &Report : Reply.Attempts_)
+      for (cluster::AttemptReport &Report : Reply.Attempts_)
         if (Report.State_ == AttemptState::Checkpointing)
           Report.State_ = AttemptState::Stopped;
-    auto Wire = platform::decodeReply(platform::encodeReply(Reply));
+    auto Wire = cluster::decodeReply(cluster::encodeReply(Reply));
     if (!Wire)
       Oracle_.fault("an owner refuses a reply as malformed");
     if (LoseReply || Found->LoseReplies_ || !Wire)
--- a/tests/store/EtcdCodec.tests.cpp
+++ b/tests/store/EtcdCodec.tests.cpp
@@ -1,5 +1,5 @@
 #include "store/internal/EtcdCodec.h"
-#include "store/internal/Base64.h"
+#include "store/Base64.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
