Learn which images disturb which and place best-effort tasks by it

Change: an online regression of that matrix, pacing by headroom, placement by the headroom left, serving tasks of one image together; expected run times are taken at the time of the report.

--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -30,7 +30,7 @@
   //! Time in which a worker stops a task.
   base::Duration StopTimeout_ = std::chrono::milliseconds(900);
   //! Collects ends into one store write.
-  base::Duration CommitDelay_ = std::chrono::milliseconds(20);
+  base::Duration CommitDelay_ = std::chrono::milliseconds(30);
   //! Final states stay readable this long.
   base::Duration KeepFinished_ = std::chrono::seconds(180);
   //! Time for which a tail above its target is tolerated by the platform.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -122,10 +122,13 @@
   bool eligible(const StepWork &Step, const Task &Of, const Worker &On) const;
   double placementScore(const StepWork &Step, const Worker &On,
                         const std::string *WantedRack) const;
+  double imageMatch(const std::string &Image, const Worker &On) const;
   void placeCopies();
 
   // Pacing.cpp
+  void learnPressure(Worker &At);
   void protectTails(Worker &At);
+  double headroomLeft(const StepWork &Step, const Worker &On) const;
   void setPace(Run &Which, int Percent);
 
   // Commits.cpp
@@ -167,6 +170,8 @@
   uint64_t NextSerial_ = 1;
   uint64_t NextOrder_ = 1;
 
+  internal::PressureModel Pressure_;
+
   bool Recovering_ = false;
   base::TimePoint RecoveryEnd_;
   base::TimePoint NextCheck_;
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -3,65 +3,130 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocuslead::jobs {
 
 namespace {
 
-// Tail against its target at which best-effort neighbours slow down, and below
-// which they speed up again.
-constexpr double SlowDownAt = 0.9;
-constexpr double SpeedUpBelow = 0.6;
-constexpr int SpeedUpStep = 25;
+// Headroom (target over tail) that is kept; 1 is the target itself. The rest
+// covers the swing of loads until the next look.
+constexpr double KeptHeadroom = 1.3;
+// A tail figure above this says that the task is nearly idle.
+constexpr double MaxHeadroom = 8;
+// Weight of a new sample of a serving task's own headroom.
+constexpr double OwnWeight = 0.5;
+// Samples further apart differ by the load's own swing.
+constexpr auto LongestStep = std::chrono::milliseconds(1500);
 constexpr int FullPace = 100;
-constexpr int LowestPace = 10;
-// Shares of the idle CPU offered to best-effort tasks.
-constexpr double LeastShare = 0.1;
-constexpr double ShareCut = 0.75;
-constexpr double ShareGain = 0.05;
+// Paces below this are not worth the memory; the task stands still.
+constexpr int LowestPace = 8;
+// Smaller changes are not sent.
+constexpr int PaceStep = 8;
+
+bool serves(const internal::Run &Each) {
+  return Each.Step_->Spec_->TailTarget_.count() > 0 &&
+         Each.Phase_ == internal::RunPhase::Running;
+}
+
+bool isBestEffort(const internal::Run &Each) {
+  return Each.Step_->Spec_->BestEffort_ &&
+         Each.Phase_ == internal::RunPhase::Running;
+}
+
+//! Part of the worker's CPU that a task uses at full pace.
+double fullUse(const internal::StepWork &Step, const internal::Worker &On) {
+  return static_cast<double>(Step.Spec_->Request_.MilliCpu_) /
+         std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
+}
 
 } // namespace
 
-// Best-effort neighbours are slowed down as soon as a tail nears its target,
-// and stand still before the time for which the platform tolerates it is over.
+// Splits each serving task's headroom into its own part, which follows its
+// load, and what best-effort neighbours take from it.
+void Coordinator::Impl::learnPressure(Worker &At) {
+  double Room =
+      std::max<double>(1, static_cast<double>(At.Info_.Room_.MilliCpu_));
+  internal::UseByImage Use;
+  for (const Run *Each : At.Runs_)
+    if (isBestEffort(*Each))
+      Use[Each->Step_->Spec_->Image_] += Each->Load_ / Room;
+  bool Recent = now() - At.UseSeenAt_ < LongestStep;
+  for (Run *Served : At.Runs_) {
+    if (!serves(*Served) || Served->Load_ <= 0)
+      continue;
+    const StepSpec &Spec = *Served->Step_->Spec_;
+    double Seen = std::min(
+        MaxHeadroom, static_cast<double>(base::toMillis(Spec.TailTarget_)) /
+                         Served->Load_);
+    if (Served->SeenHeadroom_ && Recent)
+      Pressure_.observe(Spec.Image_, Seen - *Served->SeenHeadroom_,
+                        At.SeenUse_, Use);
+    Served->SeenHeadroom_ = Seen;
+    double Own = Seen + Pressure_.taken(Use, Spec.Image_);
+    Served->OwnHeadroom_ = Served->OwnHeadroom_.value_or(Own) * (1 - OwnWeight) +
+                           Own * OwnWeight;
+  }
+  At.SeenUse_ = std::move(Use);
+  At.UseSeenAt_ = now();
+}
+
+// Slows best-effort tasks to what the serving tasks beside them can bear.
 void Coordinator::Impl::protectTails(Worker &At) {
-  double Worst = 0;
-  base::Duration Longest{};
-  for (Run *Each : At.Runs_) {
-    base::Duration Target = Each->Step_->Spec_->TailTarget_;
-    if (Target.count() <= 0 || Each->Phase_ != RunPhase::Running)
+  learnPressure(At);
+  std::vector<std::pair<Run *, double>> Shares;
+  for (Run *Each : At.Runs_)
+    if (isBestEffort(*Each))
+      Shares.emplace_back(Each, 1.0);
+  if (Shares.empty())
+    return;
+  for (const Run *Served : At.Runs_) {
+    if (!serves(*Served) || !Served->OwnHeadroom_)
       continue;
-    double Ratio = Each->Load_ / static_cast<double>(base::toMillis(Target));
-    Worst = std::max(Worst, Ratio);
-    if (Ratio <= 1) {
-      Each->OverTargetSince_.reset();
+    const std::string &Image = Served->Step_->Spec_->Image_;
+    double Taken = 0;
+    for (auto &[Each, Share] : Shares)
+      Taken += Pressure_.pressure(Each->Step_->Spec_->Image_, Image) *
+               fullUse(*Each->Step_, At) * Share;
+    double Left = std::max(0.0, *Served->OwnHeadroom_ - KeptHeadroom);
+    if (Taken <= Left)
       continue;
-    }
-    if (!Each->OverTargetSince_)
-      Each->OverTargetSince_ = now();
-    Longest = std::max(Longest, now() - *Each->OverTargetSince_);
+    for (auto &[Each, Share] : Shares)
+      if (Pressure_.pressure(Each->Step_->Spec_->Image_, Image) > 0)
+        Share *= Left / Taken;
   }
-  if (Worst > SlowDownAt)
-    At.BestEffortShare_ = std::max(LeastShare, At.BestEffortShare_ * ShareCut);
-  else if (Worst < SpeedUpBelow)
-    At.BestEffortShare_ = std::min(1.0, At.BestEffortShare_ + ShareGain);
-  bool Urgent = Longest > Settings_.Times_.TailGrace_ / 4;
-  for (Run *Each : std::vector<Run *>(At.Runs_)) {
-    if (!Each->Step_->Spec_->BestEffort_ || Each->Phase_ != RunPhase::Running)
-      continue;
-    int Wanted = Each->Pace_;
-    if (Worst > SlowDownAt)
-      Wanted = Urgent ? 0
-                      : std::max(LowestPace, static_cast<int>(Each->Pace_ *
-                                                              SlowDownAt /
-                                                              Worst));
-    else if (Worst < SpeedUpBelow)
-      Wanted = std::min(FullPace, Each->Pace_ + SpeedUpStep);
-    if (Wanted != Each->Pace_)
+  for (auto &[Each, Share] : Shares) {
+    int Wanted = static_cast<int>(Share * FullPace);
+    if (Wanted < LowestPace)
+      Wanted = 0;
+    if (Wanted != Each->Pace_ &&
+        (std::abs(Wanted - Each->Pace_) >= PaceStep || Wanted == 0 ||
+         Wanted == FullPace))
       setPace(*Each, Wanted);
   }
 }
 
+// Headroom that the tightest serving task on a worker would have left above
+// what is kept, if a task of this step ran there as well.
+double Coordinator::Impl::headroomLeft(const StepWork &Step,
+                                       const Worker &On) const {
+  double Least = MaxHeadroom;
+  for (const Run *Served : On.Runs_) {
+    const StepSpec &Spec = *Served->Step_->Spec_;
+    if (Spec.TailTarget_.count() <= 0)
+      continue;
+    double Left = Served->OwnHeadroom_.value_or(KeptHeadroom) - KeptHeadroom -
+                  Pressure_.pressure(Step.Spec_->Image_, Spec.Image_) *
+                      fullUse(Step, On);
+    for (const Run *Each : On.Runs_)
+      if (Each->Step_->Spec_->BestEffort_)
+        Left -= Pressure_.pressure(Each->Step_->Spec_->Image_, Spec.Image_) *
+                fullUse(*Each->Step_, On);
+    Least = std::min(Least, Left);
+  }
+  return Least;
+}
+
 void Coordinator::Impl::setPace(Run &Which, int Percent) {
   if (Which.PaceInFlight_)
     return;
@@ -82,10 +147,13 @@
         if (Of == nullptr)
           return;
         Of->PaceInFlight_ = false;
-        if (Reply.Status_ == OrderStatus::Accepted)
+        if (Reply.Status_ == OrderStatus::Accepted) {
+          // The time at the old pace says nothing about a stall.
+          Of->ProgressAt_ = Self->now();
           Of->Pace_ = Percent;
-        else if (Reply.Status_ == OrderStatus::Fenced)
+        } else if (Reply.Status_ == OrderStatus::Fenced) {
           Self->fenced("pace", *Of->Worker_);
+        }
       });
 }
 
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -13,7 +13,12 @@
 // Weights of a worker's score; the free share of the CPU counts 1.
 constexpr double RackScore = 10;
 constexpr double SlownessScore = 1.0;
-constexpr double ServingNeighbourScore = 0.04;
+constexpr double HeadroomScore = 2;
+constexpr double SameImageScore = 0.4;
+constexpr double OtherImageScore = 0.4;
+// Best-effort tasks beside others start where at least this much headroom is
+// left; less than 0 means that they are slowed down at times.
+constexpr double LeastHeadroomLeft = -0.5;
 constexpr double AvoidedScore = 5;
 // A copy is started when a task takes this many times the time expected.
 constexpr double CopyFactor = 2.0;
@@ -41,7 +46,8 @@
                                     On.Reserved_.MilliCpu_) +
                 (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
   return static_cast<double>(On.BestEffortCpu_ + Spec.Request_.MilliCpu_) <=
-         Idle * On.BestEffortShare_;
+             Idle &&
+         headroomLeft(Step, On) > LeastHeadroomLeft;
 }
 
 bool Coordinator::Impl::eligible(const StepWork &Step, const Task &Of,
@@ -68,6 +74,19 @@
          fits(Step, On);
 }
 
+// Serving tasks of one image bear the same best-effort neighbours, so workers
+// with few images leave room for most of these.
+double Coordinator::Impl::imageMatch(const std::string &Image,
+                                     const Worker &On) const {
+  double Score = 0;
+  for (const Run *Each : On.Runs_) {
+    const StepSpec &Spec = *Each->Step_->Spec_;
+    if (Spec.TailTarget_.count() > 0)
+      Score += Spec.Image_ == Image ? SameImageScore : -OtherImageScore;
+  }
+  return std::clamp(Score, -1.0, 1.0);
+}
+
 double Coordinator::Impl::placementScore(const StepWork &Step,
                                          const Worker &On,
                                          const std::string *WantedRack) const {
@@ -79,7 +98,9 @@
   double Score = 1 - (Used + static_cast<double>(Spec.Request_.MilliCpu_)) / Room;
   Score -= SlownessScore * std::max(0.0, On.Slowness_ - 1);
   if (Spec.BestEffort_)
-    Score -= ServingNeighbourScore * On.Serving_ + (1 - On.BestEffortShare_);
+    Score += HeadroomScore * std::min(1.0, headroomLeft(Step, On));
+  if (Spec.TailTarget_.count() > 0)
+    Score += imageMatch(Spec.Image_, On);
   if (WantedRack != nullptr && !WantedRack->empty() &&
       *WantedRack == On.Info_.Rack_)
     Score += RackScore;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -353,7 +353,8 @@
       Which.Step_->Measured_ < 2 || Which.Percent_ <= 0 ||
       Which.Percent_ > FullPercent / 2)
     return;
-  double Expected = Elapsed * FullPercent / Which.Percent_;
+  double Reported = base::toSeconds(Which.ProgressAt_ - Which.StartedAt_);
+  double Expected = Reported * FullPercent / Which.Percent_;
   if (Expected > StragglerFactor * Which.Step_->MeanSeconds_ &&
       Elapsed > Which.Step_->MeanSeconds_) {
     Of.AvoidWorker_ = Which.Worker_->Info_.Id_;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -3,6 +3,7 @@
 #include "jobs/Fleet.h"
 #include "jobs/JobRecord.h"
 #include "jobs/WorkerPort.h"
+#include "jobs/internal/PressureModel.h"
 
 #include <deque>
 #include <map>
@@ -43,8 +44,10 @@
   std::string Checkpoint_;
   double Load_ = 0;
   int Pace_ = 100;
-  //! Since when the tail has been above its target.
-  std::optional<base::TimePoint> OverTargetSince_;
+  //! Headroom of a serving task if it had no best-effort neighbours.
+  std::optional<double> OwnHeadroom_;
+  //! Headroom at the last look.
+  std::optional<double> SeenHeadroom_;
   std::optional<base::TimePoint> StopAnsweredAt_;
   base::TimePoint NextStopAt_;
   bool StopInFlight_ = false;
@@ -150,9 +153,9 @@
   base::TimePoint AvoidUntil_;
   //! Run time here against elsewhere, smoothed.
   double Slowness_ = 1;
-  //! Share of the idle CPU that best-effort tasks may take; shrinks while a
-  //! tail is above its target.
-  double BestEffortShare_ = 1;
+  //! Use by best-effort tasks at the last look.
+  UseByImage SeenUse_;
+  base::TimePoint UseSeenAt_;
   base::TimePoint DrainSince_;
   uint64_t Order_ = 0;
 };
