Slow the neighbours that press hardest first and place late jobs last

Cause: all best-effort tasks on a worker were slowed in proportion, small noise in the matrix counted as pressure, and jobs past their target held back others.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -113,6 +113,7 @@
 
   // Placement.cpp
   void place();
+  void placeReady(bool Late);
   bool placeStep(StepWork &Step);
   bool placeGang(StepWork &Step);
   bool isReady(const StepWork &Step, const Task &Of) const;
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -84,16 +84,24 @@
     if (!serves(*Served) || !Served->OwnHeadroom_)
       continue;
     const std::string &Image = Served->Step_->Spec_->Image_;
-    double Taken = 0;
-    for (auto &[Each, Share] : Shares)
-      Taken += Pressure_.pressure(Each->Step_->Spec_->Image_, Image) *
-               fullUse(*Each->Step_, At) * Share;
-    double Left = std::max(0.0, *Served->OwnHeadroom_ - KeptHeadroom);
-    if (Taken <= Left)
-      continue;
-    for (auto &[Each, Share] : Shares)
-      if (Pressure_.pressure(Each->Step_->Spec_->Image_, Image) > 0)
-        Share *= Left / Taken;
+    auto PressureOf = [&](const Run &Each) {
+      return Pressure_.pressure(Each.Step_->Spec_->Image_, Image);
+    };
+    // Those that press hardest are slowed first.
+    std::sort(Shares.begin(), Shares.end(), [&](const auto &A, const auto &B) {
+      return PressureOf(*A.first) > PressureOf(*B.first);
+    });
+    double Excess = KeptHeadroom - *Served->OwnHeadroom_;
+    for (const auto &[Each, Share] : Shares)
+      Excess += PressureOf(*Each) * fullUse(*Each->Step_, At) * Share;
+    for (auto &[Each, Share] : Shares) {
+      double Full = PressureOf(*Each) * fullUse(*Each->Step_, At);
+      if (Excess <= 0 || Full <= 0)
+        break;
+      double Cut = std::min(Share, Excess / Full);
+      Share -= Cut;
+      Excess -= Cut * Full;
+    }
   }
   for (auto &[Each, Share] : Shares) {
     int Wanted = static_cast<int>(Share * FullPace);
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -18,7 +18,7 @@
 constexpr double OtherImageScore = 0.4;
 // Best-effort tasks beside others start where at least this much headroom is
 // left; less than 0 means that they are slowed down at times.
-constexpr double LeastHeadroomLeft = -0.5;
+constexpr double LeastHeadroomLeft = -0.1;
 constexpr double AvoidedScore = 5;
 // A copy is started when a task takes this many times the time expected.
 constexpr double CopyFactor = 2.0;
@@ -184,9 +184,19 @@
   PassWanted_ = false;
   if (Superseded_)
     return;
+  // Jobs that can still meet their target go before those that are late.
+  placeReady(false);
+  placeReady(true);
+}
+
+void Coordinator::Impl::placeReady(bool Late) {
   int Starts = 0;
   for (auto It = Ready_.begin(); It != Ready_.end();) {
     StepWork &Step = *It->second;
+    if ((now() + Step.Spec_->Estimate_ > Step.Job_->Target_) != Late) {
+      ++It;
+      continue;
+    }
     if (placeStep(Step))
       ++Starts;
     bool Waits = std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(),
--- a/src/jobs/internal/PressureModel.cpp
+++ b/src/jobs/internal/PressureModel.cpp
@@ -14,6 +14,8 @@
 // a worker adds 0.01 when it starts or ends.
 constexpr double PriorWeight = 0.03;
 constexpr double MaxPressure = 80;
+// Pairs either share a resource or do not; a small estimate is noise.
+constexpr double Negligible = 1.5;
 // Older changes fade, since images behave differently from hour to hour.
 constexpr double Memory = 0.999;
 // Smaller changes drown in the noise of the figures.
@@ -22,9 +24,10 @@
 } // namespace
 
 double PressureModel::Pair::pressure() const {
-  return std::clamp((Product_ + PriorPressure * PriorWeight) /
-                        (Square_ + PriorWeight),
-                    0.0, MaxPressure);
+  double Estimate = std::clamp((Product_ + PriorPressure * PriorWeight) /
+                                   (Square_ + PriorWeight),
+                               0.0, MaxPressure);
+  return Estimate < Negligible ? 0 : Estimate;
 }
 
 double PressureModel::pressure(const std::string &BestEffortImage,
