Number images, cache headroom and guard tails by time over target

Cause: placement looked up pairs of image names for each run on each worker, so the coordinator spent its whole share of a core; tasks without effect on a tail were held back where that tail was tight; nothing ended a tail over its target when the estimate was wrong.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -119,17 +119,18 @@
   bool isReady(const StepWork &Step, const Task &Of) const;
   Worker *chooseWorker(const StepWork &Step, const Task &Of,
                        const std::string *WantedRack);
-  bool fits(const StepWork &Step, const Worker &On) const;
-  bool eligible(const StepWork &Step, const Task &Of, const Worker &On) const;
-  double placementScore(const StepWork &Step, const Worker &On,
+  bool fits(const StepWork &Step, Worker &On) const;
+  bool eligible(const StepWork &Step, const Task &Of, Worker &On) const;
+  double placementScore(const StepWork &Step, Worker &On,
                         const std::string *WantedRack) const;
-  double imageMatch(const std::string &Image, const Worker &On) const;
+  double imageMatch(internal::ImageNumber Image, const Worker &On) const;
   void placeCopies();
 
   // Pacing.cpp
   void learnPressure(Worker &At);
   void protectTails(Worker &At);
-  double headroomLeft(const StepWork &Step, const Worker &On) const;
+  void refreshHeadroom(Worker &Of) const;
+  double headroomLeft(const StepWork &Step, Worker &On) const;
   void setPace(Run &Which, int Percent);
 
   // Commits.cpp
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -11,7 +11,12 @@
 
 // Headroom (target over tail) that is kept; 1 is the target itself. The rest
 // covers the swing of loads until the next look.
-constexpr double KeptHeadroom = 1.3;
+constexpr double KeptHeadroom = 1.4;
+// A new neighbour needs more, since it works at full pace until it is seen.
+constexpr double StartHeadroom = 1.7;
+// A tail above its target for this part of the tolerated time stops all
+// neighbours that may cause it, and for twice that all others.
+constexpr int GuardParts = 4;
 // A tail figure above this says that the task is nearly idle.
 constexpr double MaxHeadroom = 8;
 // Weight of a new sample of a serving task's own headroom.
@@ -50,7 +55,7 @@
   internal::UseByImage Use;
   for (const Run *Each : At.Runs_)
     if (isBestEffort(*Each))
-      Use[Each->Step_->Spec_->Image_] += Each->Load_ / Room;
+      Use[Each->Step_->Image_] += Each->Load_ / Room;
   bool Recent = now() - At.UseSeenAt_ < LongestStep;
   for (Run *Served : At.Runs_) {
     if (!serves(*Served) || Served->Load_ <= 0)
@@ -60,13 +65,18 @@
         MaxHeadroom, static_cast<double>(base::toMillis(Spec.TailTarget_)) /
                          Served->Load_);
     if (Served->SeenHeadroom_ && Recent)
-      Pressure_.observe(Spec.Image_, Seen - *Served->SeenHeadroom_,
+      Pressure_.observe(Served->Step_->Image_, Seen - *Served->SeenHeadroom_,
                         At.SeenUse_, Use);
     Served->SeenHeadroom_ = Seen;
-    double Own = Seen + Pressure_.taken(Use, Spec.Image_);
+    if (Seen >= 1)
+      Served->OverSince_.reset();
+    else if (!Served->OverSince_)
+      Served->OverSince_ = now();
+    double Own = Seen + Pressure_.taken(Use, Served->Step_->Image_);
     Served->OwnHeadroom_ = Served->OwnHeadroom_.value_or(Own) * (1 - OwnWeight) +
                            Own * OwnWeight;
   }
+  At.HeadroomStale_ = true;
   At.SeenUse_ = std::move(Use);
   At.UseSeenAt_ = now();
 }
@@ -83,10 +93,17 @@
   for (const Run *Served : At.Runs_) {
     if (!serves(*Served) || !Served->OwnHeadroom_)
       continue;
-    const std::string &Image = Served->Step_->Spec_->Image_;
+    internal::ImageNumber Image = Served->Step_->Image_;
     auto PressureOf = [&](const Run &Each) {
-      return Pressure_.pressure(Each.Step_->Spec_->Image_, Image);
+      return Pressure_.pressure(Each.Step_->Image_, Image);
     };
+    base::Duration Over =
+        Served->OverSince_ ? now() - *Served->OverSince_ : base::Duration{};
+    if (Over * GuardParts > Settings_.Times_.TailGrace_)
+      for (auto &[Each, Share] : Shares)
+        if (PressureOf(*Each) > 0 ||
+            Over * GuardParts > 2 * Settings_.Times_.TailGrace_)
+          Share = 0;
     // Those that press hardest are slowed first.
     std::sort(Shares.begin(), Shares.end(), [&](const auto &A, const auto &B) {
       return PressureOf(*A.first) > PressureOf(*B.first);
@@ -114,23 +131,38 @@
   }
 }
 
-// Headroom that the tightest serving task on a worker would have left above
-// what is kept, if a task of this step ran there as well.
-double Coordinator::Impl::headroomLeft(const StepWork &Step,
-                                       const Worker &On) const {
-  double Least = MaxHeadroom;
-  for (const Run *Served : On.Runs_) {
-    const StepSpec &Spec = *Served->Step_->Spec_;
-    if (Spec.TailTarget_.count() <= 0)
+void Coordinator::Impl::refreshHeadroom(Worker &Of) const {
+  Of.HeadroomStale_ = false;
+  Of.HeadroomLeft_.clear();
+  internal::UseByImage Full;
+  for (const Run *Each : Of.Runs_)
+    if (Each->Step_->Spec_->BestEffort_)
+      Full[Each->Step_->Image_] += fullUse(*Each->Step_, Of);
+  for (const Run *Served : Of.Runs_) {
+    if (Served->Step_->Spec_->TailTarget_.count() <= 0)
       continue;
-    double Left = Served->OwnHeadroom_.value_or(KeptHeadroom) - KeptHeadroom -
-                  Pressure_.pressure(Step.Spec_->Image_, Spec.Image_) *
-                      fullUse(Step, On);
-    for (const Run *Each : On.Runs_)
-      if (Each->Step_->Spec_->BestEffort_)
-        Left -= Pressure_.pressure(Each->Step_->Spec_->Image_, Spec.Image_) *
-                fullUse(*Each->Step_, On);
-    Least = std::min(Least, Left);
+    internal::ImageNumber Image = Served->Step_->Image_;
+    double Left = Served->OwnHeadroom_.value_or(StartHeadroom) - StartHeadroom -
+                  Pressure_.taken(Full, Image);
+    auto Known = std::find_if(Of.HeadroomLeft_.begin(), Of.HeadroomLeft_.end(),
+                              [&](const auto &E) { return E.first == Image; });
+    if (Known == Of.HeadroomLeft_.end())
+      Of.HeadroomLeft_.emplace_back(Image, Left);
+    else
+      Known->second = std::min(Known->second, Left);
+  }
+}
+
+// Headroom that the tightest of those serving tasks on a worker that feel this
+// step would have left above what is kept.
+double Coordinator::Impl::headroomLeft(const StepWork &Step, Worker &On) const {
+  if (On.HeadroomStale_)
+    refreshHeadroom(On);
+  double Least = MaxHeadroom;
+  for (const auto &[Image, Left] : On.HeadroomLeft_) {
+    double Pressure = Pressure_.pressure(Step.Image_, Image);
+    if (Pressure > 0)
+      Least = std::min(Least, Left - Pressure * fullUse(Step, On));
   }
   return Least;
 }
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -16,9 +16,8 @@
 constexpr double HeadroomScore = 2;
 constexpr double SameImageScore = 0.4;
 constexpr double OtherImageScore = 0.4;
-// Best-effort tasks beside others start where at least this much headroom is
-// left; less than 0 means that they are slowed down at times.
-constexpr double LeastHeadroomLeft = -0.1;
+// Best-effort tasks beside others start where at least this is left.
+constexpr double LeastHeadroomLeft = 0;
 constexpr double AvoidedScore = 5;
 // A copy is started when a task takes this many times the time expected.
 constexpr double CopyFactor = 2.0;
@@ -33,7 +32,7 @@
          !(Recovering_ && Step.Job_->Restored_);
 }
 
-bool Coordinator::Impl::fits(const StepWork &Step, const Worker &On) const {
+bool Coordinator::Impl::fits(const StepWork &Step, Worker &On) const {
   const StepSpec &Spec = *Step.Spec_;
   base::Resources Need = Spec.Request_;
   if (Spec.BestEffort_)
@@ -51,7 +50,7 @@
 }
 
 bool Coordinator::Impl::eligible(const StepWork &Step, const Task &Of,
-                                 const Worker &On) const {
+                                 Worker &On) const {
   const StepSpec &Spec = *Step.Spec_;
   const QueueConfig *Queue = queueOf(*Step.Job_);
   if (Queue == nullptr || On.Info_.Service_ != Queue->Service_ ||
@@ -76,19 +75,19 @@
 
 // Serving tasks of one image bear the same best-effort neighbours, so workers
 // with few images leave room for most of these.
-double Coordinator::Impl::imageMatch(const std::string &Image,
+double Coordinator::Impl::imageMatch(internal::ImageNumber Image,
                                      const Worker &On) const {
   double Score = 0;
   for (const Run *Each : On.Runs_) {
     const StepSpec &Spec = *Each->Step_->Spec_;
     if (Spec.TailTarget_.count() > 0)
-      Score += Spec.Image_ == Image ? SameImageScore : -OtherImageScore;
+      Score += Each->Step_->Image_ == Image ? SameImageScore : -OtherImageScore;
   }
   return std::clamp(Score, -1.0, 1.0);
 }
 
 double Coordinator::Impl::placementScore(const StepWork &Step,
-                                         const Worker &On,
+                                         Worker &On,
                                          const std::string *WantedRack) const {
   const StepSpec &Spec = *Step.Spec_;
   double Room = std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
@@ -100,7 +99,7 @@
   if (Spec.BestEffort_)
     Score += HeadroomScore * std::min(1.0, headroomLeft(Step, On));
   if (Spec.TailTarget_.count() > 0)
-    Score += imageMatch(Spec.Image_, On);
+    Score += imageMatch(Step.Image_, On);
   if (WantedRack != nullptr && !WantedRack->empty() &&
       *WantedRack == On.Info_.Rack_)
     Score += RackScore;
@@ -191,8 +190,14 @@
 
 void Coordinator::Impl::placeReady(bool Late) {
   int Starts = 0;
+  // Best-effort images that found no worker: the size hardly matters to them.
+  std::set<internal::ImageNumber> NoRoom;
   for (auto It = Ready_.begin(); It != Ready_.end();) {
     StepWork &Step = *It->second;
+    if (Step.Spec_->BestEffort_ && NoRoom.count(Step.Image_) > 0) {
+      ++It;
+      continue;
+    }
     if ((now() + Step.Spec_->Estimate_ > Step.Job_->Target_) != Late) {
       ++It;
       continue;
@@ -203,6 +208,8 @@
                              [](const Task &Of) {
                                return !Of.Done_ && Of.Runs_.empty();
                              });
+    if (Waits && Step.Spec_->BestEffort_)
+      NoRoom.insert(Step.Image_);
     It = Waits ? std::next(It) : Ready_.erase(It);
     if (Starts >= MaxStartsPerPass) {
       PassWanted_ = true;
--- a/src/jobs/internal/PressureModel.cpp
+++ b/src/jobs/internal/PressureModel.cpp
@@ -30,33 +30,45 @@
   return Estimate < Negligible ? 0 : Estimate;
 }
 
-double PressureModel::pressure(const std::string &BestEffortImage,
-                               const std::string &ServingImage) const {
-  auto It = Pairs_.find({BestEffortImage, ServingImage});
-  return It == Pairs_.end() ? PriorPressure : It->second.pressure();
+ImageNumber PressureModel::numberOf(const std::string &Image) {
+  return Numbers_
+      .try_emplace(Image, static_cast<ImageNumber>(Numbers_.size()))
+      .first->second;
 }
 
-double PressureModel::taken(const UseByImage &Use,
-                            const std::string &ServingImage) const {
+PressureModel::Pair &PressureModel::pair(ImageNumber BestEffort,
+                                         ImageNumber Serving) {
+  if (Pairs_.size() <= BestEffort)
+    Pairs_.resize(BestEffort + 1);
+  if (Pairs_[BestEffort].size() <= Serving)
+    Pairs_[BestEffort].resize(Serving + 1);
+  return Pairs_[BestEffort][Serving];
+}
+
+double PressureModel::pressure(ImageNumber BestEffort,
+                               ImageNumber Serving) const {
+  if (Pairs_.size() <= BestEffort || Pairs_[BestEffort].size() <= Serving)
+    return PriorPressure;
+  return Pairs_[BestEffort][Serving].pressure();
+}
+
+double PressureModel::taken(const UseByImage &Use, ImageNumber Serving) const {
   double Sum = 0;
   for (const auto &[Image, Part] : Use)
-    Sum += pressure(Image, ServingImage) * Part;
+    Sum += pressure(Image, Serving) * Part;
   return Sum;
 }
 
-void PressureModel::observe(const std::string &ServingImage,
-                            double HeadroomChange, const UseByImage &Before,
-                            const UseByImage &After) {
+void PressureModel::observe(ImageNumber Serving, double HeadroomChange,
+                            const UseByImage &Before, const UseByImage &After) {
   UseByImage Change = After;
   for (const auto &[Image, Part] : Before)
     Change[Image] -= Part;
-  double Explained = 0;
-  for (const auto &[Image, Part] : Change)
-    Explained -= pressure(Image, ServingImage) * Part;
+  double Explained = -taken(Change, Serving);
   for (const auto &[Image, Part] : Change) {
     if (std::abs(Part) < LeastChange)
       continue;
-    Pair &Of = Pairs_[{Image, ServingImage}];
+    Pair &Of = pair(Image, Serving);
     // What the other images leave unexplained is this one's doing.
     double Own = HeadroomChange - Explained - Of.pressure() * Part;
     Of.Product_ = Of.Product_ * Memory - Own * Part;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -70,6 +70,7 @@
     Reserve.MilliCpu_ = 0;
   }
   On.Reserved_ += Reserve;
+  On.HeadroomStale_ = true;
   if (Spec.TailTarget_.count() > 0) {
     On.ServingCpu_ += Spec.Request_.MilliCpu_;
     ++On.Serving_;
@@ -89,6 +90,7 @@
     Reserve.MilliCpu_ = 0;
   }
   On.Reserved_ -= Reserve;
+  On.HeadroomStale_ = true;
   if (Spec.TailTarget_.count() > 0) {
     On.ServingCpu_ -= Spec.Request_.MilliCpu_;
     --On.Serving_;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -46,6 +46,8 @@
   int Pace_ = 100;
   //! Headroom of a serving task if it had no best-effort neighbours.
   std::optional<double> OwnHeadroom_;
+  //! Since when its tail has been above its target.
+  std::optional<base::TimePoint> OverSince_;
   //! Headroom at the last look.
   std::optional<double> SeenHeadroom_;
   std::optional<base::TimePoint> StopAnsweredAt_;
@@ -71,6 +73,7 @@
   uint32_t Occurrence_ = 0;
   uint32_t Number_ = 0;
   const StepSpec *Spec_ = nullptr;
+  ImageNumber Image_ = 0;
   std::vector<Task> Tasks_;
   uint32_t Done_ = 0;
   bool Open_ = false;
@@ -156,6 +159,10 @@
   //! Use by best-effort tasks at the last look.
   UseByImage SeenUse_;
   base::TimePoint UseSeenAt_;
+  //! Least headroom left above what is kept, for each serving image there;
+  //! made anew after HeadroomStale_.
+  std::vector<std::pair<ImageNumber, double>> HeadroomLeft_;
+  bool HeadroomStale_ = true;
   base::TimePoint DrainSince_;
   uint64_t Order_ = 0;
 };
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -222,7 +222,9 @@
                (Each->Phase_ == RunPhase::Stopping && Each->StopAnsweredAt_);
       });
   if (Settled && !Doubts)
-    Order.Wait_ = Settings_.Times_.LookWait_;
+    Order.Wait_ = At.Serving_ > 0 && At.BestEffortCpu_ > 0
+                      ? Settings_.Times_.TailLookWait_
+                      : Settings_.Times_.LookWait_;
   At.LookInFlight_ = true;
   At.LookSentAt_ = now();
   At.AcknowledgedSent_ = At.Acknowledged_;
