--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -123,7 +123,7 @@
   bool eligible(const StepWork &Step, const Task &Of, Worker &On) const;
   double placementScore(const StepWork &Step, Worker &On,
                         const std::string *WantedRack) const;
-  double imageMatch(internal::ImageNumber Image, const Worker &On) const;
+  double packingScore(const StepWork &Step, const Worker &On) const;
   void placeCopies();
 
   // Pacing.cpp
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -17,6 +17,8 @@
 // A tail above its target for this part of the tolerated time stops all
 // neighbours that may cause it, and for twice that all others.
 constexpr int GuardParts = 4;
+// The figures are rough: a headroom below this counts as over the target.
+constexpr double OverBelow = 1.08;
 // A tail figure above this says that the task is nearly idle.
 constexpr double MaxHeadroom = 8;
 // Weight of a new sample of a serving task's own headroom.
@@ -56,6 +58,7 @@
   for (const Run *Each : At.Runs_)
     if (isBestEffort(*Each))
       Use[Each->Step_->Image_] += Each->Load_ / Room;
+  At.TailOver_ = false;
   bool Recent = now() - At.UseSeenAt_ < LongestStep;
   for (Run *Served : At.Runs_) {
     if (!serves(*Served) || Served->Load_ <= 0)
@@ -68,10 +71,11 @@
       Pressure_.observe(Served->Step_->Image_, Seen - *Served->SeenHeadroom_,
                         At.SeenUse_, Use);
     Served->SeenHeadroom_ = Seen;
-    if (Seen >= 1)
+    if (Seen >= OverBelow)
       Served->OverSince_.reset();
     else if (!Served->OverSince_)
       Served->OverSince_ = now();
+    At.TailOver_ = At.TailOver_ || Served->OverSince_;
     double Own = Seen + Pressure_.taken(Use, Served->Step_->Image_);
     Served->OwnHeadroom_ = Served->OwnHeadroom_.value_or(Own) * (1 - OwnWeight) +
                            Own * OwnWeight;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -14,8 +14,10 @@
 constexpr double RackScore = 10;
 constexpr double SlownessScore = 1.0;
 constexpr double HeadroomScore = 2;
-constexpr double SameImageScore = 0.4;
-constexpr double OtherImageScore = 0.4;
+constexpr double SameImageScore = 0.2;
+constexpr double MaxImageScore = 0.5;
+// Workers without serving tasks are used last.
+constexpr double NoServingScore = 0.8;
 // Best-effort tasks beside others start where at least this is left.
 constexpr double LeastHeadroomLeft = 0;
 constexpr double AvoidedScore = 5;
@@ -39,8 +41,12 @@
     Need.MilliCpu_ = 0;
   if (!(On.Reserved_ + Need).fitsIn(On.Info_.Room_))
     return false;
-  if (!Spec.BestEffort_ || On.BestEffortCpu_ == 0)
+  if (!Spec.BestEffort_)
     return true;
+  if (On.TailOver_)
+    return false;
+  if (On.BestEffortCpu_ == 0)
+    return headroomLeft(Step, On) > LeastHeadroomLeft;
   double Idle = static_cast<double>(On.Info_.Room_.MilliCpu_ -
                                     On.Reserved_.MilliCpu_) +
                 (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
@@ -73,17 +79,22 @@
          fits(Step, On);
 }
 
-// Serving tasks of one image bear the same best-effort neighbours, so workers
-// with few images leave room for most of these.
-double Coordinator::Impl::imageMatch(internal::ImageNumber Image,
-                                     const Worker &On) const {
-  double Score = 0;
-  for (const Run *Each : On.Runs_) {
-    const StepSpec &Spec = *Each->Step_->Spec_;
-    if (Spec.TailTarget_.count() > 0)
-      Score += Each->Step_->Image_ == Image ? SameImageScore : -OtherImageScore;
-  }
-  return std::clamp(Score, -1.0, 1.0);
+// Serving tasks are packed, so that workers without any are left for the
+// best-effort images that disturb all of them; and those of one image, which
+// bear the same neighbours, are kept together.
+double Coordinator::Impl::packingScore(const StepWork &Step,
+                                       const Worker &On) const {
+  double Images = 0;
+  for (const Run *Each : On.Runs_)
+    if (Each->Step_->Spec_->TailTarget_.count() > 0)
+      Images += Each->Step_->Image_ == Step.Image_ ? SameImageScore
+                                                   : -SameImageScore;
+  double Room =
+      std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
+  double Score = static_cast<double>(On.Reserved_.MilliCpu_) / Room +
+                 std::clamp(Images, -MaxImageScore, MaxImageScore) -
+                 SlownessScore * std::max(0.0, On.Slowness_ - 1);
+  return On.Serving_ == 0 ? Score - NoServingScore : Score;
 }
 
 double Coordinator::Impl::placementScore(const StepWork &Step,
@@ -97,9 +108,10 @@
   double Score = 1 - (Used + static_cast<double>(Spec.Request_.MilliCpu_)) / Room;
   Score -= SlownessScore * std::max(0.0, On.Slowness_ - 1);
   if (Spec.BestEffort_)
-    Score += HeadroomScore * std::min(1.0, headroomLeft(Step, On));
+    Score += HeadroomScore * std::min(1.0, headroomLeft(Step, On)) -
+             (On.Serving_ == 0 ? NoServingScore : 0);
   if (Spec.TailTarget_.count() > 0)
-    Score += imageMatch(Step.Image_, On);
+    Score = packingScore(Step, On);
   if (WantedRack != nullptr && !WantedRack->empty() &&
       *WantedRack == On.Info_.Rack_)
     Score += RackScore;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -163,6 +163,8 @@
   //! made anew after HeadroomStale_.
   std::vector<std::pair<ImageNumber, double>> HeadroomLeft_;
   bool HeadroomStale_ = true;
+  //! A tail there was over its target at the last look.
+  bool TailOver_ = false;
   base::TimePoint DrainSince_;
   uint64_t Order_ = 0;
 };
