--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -14,10 +14,11 @@
 constexpr double RackScore = 10;
 constexpr double SlownessScore = 1.0;
 constexpr double HeadroomScore = 2;
-constexpr double SameImageScore = 0.2;
-constexpr double MaxImageScore = 0.5;
+constexpr double SameImageScore = 0.4;
+constexpr double MaxImageScore = 2.0;
 // Workers without serving tasks are used last.
-constexpr double NoServingScore = 0.8;
+constexpr double NoServingScore = 0.4;
+constexpr double NoServingPacking = 0.1;
 // Best-effort tasks beside others start where at least this is left.
 constexpr double LeastHeadroomLeft = 0;
 constexpr double AvoidedScore = 5;
@@ -94,7 +95,7 @@
   double Score = static_cast<double>(On.Reserved_.MilliCpu_) / Room +
                  std::clamp(Images, -MaxImageScore, MaxImageScore) -
                  SlownessScore * std::max(0.0, On.Slowness_ - 1);
-  return On.Serving_ == 0 ? Score - NoServingScore : Score;
+  return On.Serving_ == 0 ? Score - NoServingPacking : Score;
 }
 
 double Coordinator::Impl::placementScore(const StepWork &Step,
