Start no copy of a done task; leave adopted runs out of run times

Cause: placeCopies took a run that was being stopped because its task was done for a run in doubt, and started a copy; runs adopted after a takeover counted as very short, so siblings looked like stragglers and were moved without end.

Ruled out: a lost end (the log shows the end at 15.36 s and the copy at 15.39 s).

--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -235,9 +235,9 @@
   std::vector<Run *> Late;
   for (auto &[Serial, Each] : Runs_) {
     StepWork &Step = *Each->Step_;
+    const Task &Of = Step.Tasks_[Each->At_.Index_];
     if (!Step.Spec_->Speculative_ || Each->Phase_ == RunPhase::Ordered ||
-        isFinal(Each->Job_->State_) ||
-        Step.Tasks_[Each->At_.Index_].Runs_.size() > 1)
+        Of.Done_ || isFinal(Each->Job_->State_) || Of.Runs_.size() > 1)
       continue;
     base::Duration Age = now() - Each->StartedAt_;
     double Expected = Step.Measured_ > 0
@@ -251,7 +251,8 @@
   }
   for (Run *Each : Late) {
     Task &Of = Each->Step_->Tasks_[Each->At_.Index_];
-    if (Worker *On = chooseWorker(*Each->Step_, Of, nullptr))
+    if (Worker *On = chooseWorker(*Each->Step_, Of, nullptr);
+        On != nullptr && !Of.Done_)
       startRun(*Each->Step_, Of, *On, Each->Job_->NextRun_++);
   }
 }
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -24,6 +24,8 @@
 constexpr int MinJudgedPace = 30;
 // A task this many times slower than its siblings is moved.
 constexpr double StragglerFactor = 3.5;
+// A task that is slow wherever it runs is left alone after this many moves.
+constexpr uint32_t MaxMoves = 2;
 constexpr double SlownessWeight = 0.25;
 constexpr int FullPercent = 100;
 
@@ -63,6 +65,7 @@
   Out.Worker_ = &On;
   Out.Since_ = Out.StartedAt_ = Out.ProgressAt_ = now();
   Out.Checkpoint_ = Of.Checkpoint_;
+  Out.Resumed_ = !Of.Checkpoint_.empty();
   const StepSpec &Spec = *Step.Spec_;
   base::Resources Reserve = Spec.Request_;
   if (Spec.BestEffort_) {
@@ -182,7 +185,6 @@
   if (Which.Phase_ == RunPhase::Stopping)
     return;
   Which.Phase_ = RunPhase::Stopping;
-  Which.StopReason_ = Reason;
   Which.Since_ = now();
   base::logEvent(base::LogLevel::Info, "task-stop",
                  {{"task", taskName({Which.Job_->Id_, Which.At_})},
@@ -252,7 +254,7 @@
                                     const EndedRow &Row) {
   if (Row.How_ == RunEnd::Done) {
     On.FailStreak_ = 0;
-    if (Which == nullptr || !Which->Checkpoint_.empty())
+    if (Which == nullptr || Which->Adopted_ || Which->Resumed_)
       return;
     StepWork &Step = *Which->Step_;
     double Took = base::toSeconds(now() - Which->StartedAt_);
@@ -351,7 +353,7 @@
     return;
   }
   double Elapsed = base::toSeconds(now() - Which.StartedAt_);
-  if (Spec.LongRunning_ || Spec.Gang_ || Spec.BestEffort_ ||
+  if (Of.Moves_ >= MaxMoves || Which.Adopted_ || Spec.LongRunning_ || Spec.Gang_ || Spec.BestEffort_ ||
       Which.Step_->Measured_ < 2 || Which.Percent_ <= 0 ||
       Which.Percent_ > FullPercent / 2)
     return;
@@ -359,6 +361,7 @@
   double Expected = Reported * FullPercent / Which.Percent_;
   if (Expected > StragglerFactor * Which.Step_->MeanSeconds_ &&
       Elapsed > Which.Step_->MeanSeconds_) {
+    ++Of.Moves_;
     Of.AvoidWorker_ = Which.Worker_->Info_.Id_;
     Which.Worker_->AvoidUntil_ = now() + SuspectPause;
     requestStop(Which, "straggler");
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -54,7 +54,10 @@
   base::TimePoint NextStopAt_;
   bool StopInFlight_ = false;
   bool PaceInFlight_ = false;
-  const char *StopReason_ = "";
+  //! Started in an earlier term, at a time that is not known.
+  bool Adopted_ = false;
+  //! Started from a checkpoint.
+  bool Resumed_ = false;
 };
 
 struct Task {
@@ -63,6 +66,8 @@
   std::vector<uint64_t> FailedRuns_;
   std::string Checkpoint_;
   std::vector<Run *> Runs_;
+  //! Runs that were stopped for their slow progress.
+  uint32_t Moves_ = 0;
   //! The worker of the last failed or stalled run is avoided.
   std::string AvoidWorker_;
   base::TimePoint NotBefore_;
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -366,6 +366,7 @@
   StepWork &Step = *findStep(*Owner, Row.Task_.At_);
   Run &Made = makeRun(Step, *Of, At, Row.Run_);
   Made.Phase_ = RunPhase::Running;
+  Made.Adopted_ = true;
   Made.Percent_ = Row.Percent_;
   Made.Load_ = Row.Load_;
   Made.Checkpoint_ = Row.Checkpoint_;
