Test the coordinator against workers, store and successors on a paused clock

The new world of fake workers found another: a worker that was reborn in the registry was made twice, and the first object stayed in the placement order after it was freed.

--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -54,7 +54,7 @@
     if (It != Workers_.end() && It->second->Info_.Born_ != Info.Born_ &&
         Info.Born_ != 0 && It->second->Info_.Born_ != 0) {
       endLife(*It->second, "reborn");
-      It = Workers_.end();
+      It = Workers_.find(Id);
     }
     if (It == Workers_.end()) {
       makeWorker(Info);
--- /dev/null
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -0,0 +1,253 @@
+#include "jobs/JobWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void requireNoBreach(const JobWorld &World) {
+  for (const std::string &Breach : World.Oracle_.Breaches_)
+    FAIL_CHECK(Breach);
+}
+
+void startWith(JobWorld &World, int Workers) {
+  for (int I = 0; I < Workers; ++I)
+    World.addWorker("w" + std::to_string(I));
+  World.takeOver();
+  World.run(milliseconds(200));
+}
+
+} // namespace
+
+TEST_CASE("A job's steps run in order and it ends completed") {
+  JobWorld World;
+  startWith(World, 3);
+  World.submit("a", chain(3, 4));
+  World.run(seconds(4));
+  CHECK(World.state("a") == JobState::Completed);
+  CHECK(World.startsOf("a.0.2.3") == 1);
+  requireNoBreach(World);
+}
+
+TEST_CASE("A final state is shown only once it is durable") {
+  JobWorld World;
+  startWith(World, 1);
+  World.submit("a", chain(1, 1));
+  World.run(milliseconds(300));
+  World.StoreDown_ = true;
+  World.run(seconds(2));
+  CHECK(World.state("a") == JobState::Running);
+  World.StoreDown_ = false;
+  World.run(seconds(1));
+  CHECK(World.state("a") == JobState::Completed);
+}
+
+TEST_CASE("Ends are not acknowledged before they are durable") {
+  JobWorld World;
+  startWith(World, 1);
+  World.submit("a", chain(1, 2));
+  World.run(milliseconds(300));
+  World.StoreDown_ = true;
+  World.run(seconds(2));
+  CHECK(World.worker("w0").Ended_.size() == 2);
+  // A successor learns them from the worker and starts nothing again.
+  World.StoreDown_ = false;
+  World.takeOver();
+  World.run(seconds(8));
+  CHECK(World.state("a") == JobState::Completed);
+  requireNoBreach(World);
+}
+
+TEST_CASE("A failing task is retried up to its limit and fails its job") {
+  JobWorld World;
+  startWith(World, 2);
+  World.worker("w0").FailsAll_ = World.worker("w1").FailsAll_ = true;
+  World.submit("a", chain(1, 1));
+  World.run(seconds(12));
+  CHECK(World.state("a") == JobState::Failed);
+  CHECK(World.startsOf("a.0.0.0") == 3);
+  requireNoBreach(World);
+}
+
+TEST_CASE("A repeated report of a failed run counts once after a takeover") {
+  JobWorld World;
+  startWith(World, 2);
+  World.worker("w0").FailsAll_ = World.worker("w1").FailsAll_ = true;
+  World.submit("a", chain(1, 1));
+  World.run(milliseconds(800));
+  REQUIRE(World.Oracle_.Failures_["a.0.0.0"] == 1);
+  World.worker("w0").FailsAll_ = World.worker("w1").FailsAll_ = false;
+  World.takeOver();
+  World.run(seconds(10));
+  CHECK(World.state("a") == JobState::Completed);
+}
+
+TEST_CASE("A successor adopts running tasks instead of starting them again") {
+  JobWorld World;
+  startWith(World, 2);
+  World.submit("a", chain(1, 4));
+  World.run(milliseconds(300));
+  World.takeOver();
+  World.run(seconds(4));
+  CHECK(World.state("a") == JobState::Completed);
+  for (int I = 0; I < 4; ++I)
+    CHECK(World.startsOf("a.0.0." + std::to_string(I)) == 1);
+  requireNoBreach(World);
+}
+
+TEST_CASE("A task at a worker out of reach waits for the end of its lease") {
+  JobWorld World;
+  startWith(World, 2);
+  World.RunLength_ = seconds(20);
+  World.submit("a", chain(1, 1));
+  World.run(milliseconds(300));
+  std::string On = *World.Oracle_.RunsOn_["a.0.0.0"].begin();
+  World.worker(On).Deaf_ = World.worker(On).Mute_ = true;
+  World.run(seconds(3));
+  CHECK(World.startsOf("a.0.0.0") == 1);
+  World.run(seconds(5));
+  CHECK(World.startsOf("a.0.0.0") == 2);
+  requireNoBreach(World);
+}
+
+TEST_CASE("A start that is executed late never makes two runs of a task") {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    JobWorld World(Seed);
+    startWith(World, 4);
+    World.LateStarts_ = 0.3;
+    for (int I = 0; I < 10; ++I)
+      World.submit("j" + std::to_string(I), chain(2, 3));
+    World.run(seconds(40));
+    for (int I = 0; I < 10; ++I)
+      CHECK(World.state("j" + std::to_string(I)) == JobState::Completed);
+    requireNoBreach(World);
+  }
+}
+
+TEST_CASE("A reborn worker's tasks start again at once") {
+  JobWorld World;
+  startWith(World, 2);
+  World.RunLength_ = seconds(3);
+  World.submit("a", chain(1, 1));
+  World.run(milliseconds(300));
+  World.rebirth(*World.Oracle_.RunsOn_["a.0.0.0"].begin());
+  World.run(milliseconds(500));
+  CHECK(World.startsOf("a.0.0.0") == 2);
+  requireNoBreach(World);
+}
+
+// Guards against the copy that was started because a run was being stopped.
+TEST_CASE("A done task gets no further copy while its copies are stopped") {
+  JobWorld World;
+  startWith(World, 4);
+  JobSpec Spec = chain(1, 1);
+  Spec.Steps_[0].Speculative_ = true;
+  World.submit("a", Spec);
+  World.run(milliseconds(250));
+  World.RunLength_ = seconds(60);
+  std::string On = *World.Oracle_.RunsOn_["a.0.0.0"].begin();
+  // Answers are lost, so a copy starts while the first run goes on.
+  World.worker(On).Mute_ = true;
+  World.run(seconds(4));
+  World.worker(On).Mute_ = false;
+  World.run(seconds(5));
+  CHECK(World.state("a") == JobState::Completed);
+  CHECK(World.startsOf("a.0.0.0") == 2);
+  CHECK(World.Oracle_.RunsOn_["a.0.0.0"].empty());
+}
+
+// Guards against run times of adopted runs, which began at an unknown time.
+TEST_CASE("Tasks that run as long as declared are not moved after a takeover") {
+  JobWorld World;
+  startWith(World, 4);
+  JobSpec Spec = chain(1, 8);
+  World.submit("a", Spec);
+  World.run(milliseconds(750));
+  World.takeOver();
+  World.submit("b", chain(1, 8));
+  World.run(seconds(3));
+  for (int I = 0; I < 8; ++I)
+    CHECK(World.startsOf("b.0.0." + std::to_string(I)) == 1);
+}
+
+TEST_CASE("A cancelled job's tasks stop and none starts afterwards") {
+  JobWorld World;
+  startWith(World, 2);
+  World.RunLength_ = seconds(20);
+  World.submit("a", chain(2, 3));
+  World.run(milliseconds(300));
+  World.cancel("a");
+  World.run(seconds(2));
+  CHECK(World.state("a") == JobState::Cancelled);
+  CHECK(World.worker("w0").Runs_.empty());
+  CHECK(World.worker("w1").Runs_.empty());
+  World.takeOver();
+  World.run(seconds(8));
+  CHECK(World.worker("w0").Runs_.empty());
+  CHECK(World.startsOf("a.0.1.0") == 0);
+}
+
+TEST_CASE("A fenced coordinator sends no further order") {
+  JobWorld World;
+  startWith(World, 1);
+  World.worker("w0").Token_ = 9;
+  World.submit("a", chain(1, 2));
+  World.run(seconds(2));
+  CHECK(World.Coordinator_->superseded());
+  CHECK(World.startsOf("a.0.0.0") == 0);
+}
+
+TEST_CASE("Random kills, cuts, lost answers and late starts break no rule") {
+  for (uint64_t Seed = 100; Seed < 300; ++Seed) {
+    CAPTURE(Seed);
+    JobWorld World(Seed);
+    startWith(World, 5);
+    World.LateStarts_ = 0.05;
+    World.LostAnswers_ = 0.05;
+    int Submitted = 0;
+    for (int Round = 0; Round < 30; ++Round) {
+      std::string Id = "w" + std::to_string(World.Random_.below(5));
+      FakeWorker &At = World.worker(Id);
+      switch (World.Random_.below(8)) {
+      case 0:
+        World.takeOver();
+        break;
+      case 1:
+        At.Mute_ = !At.Mute_;
+        break;
+      case 2:
+        At.Deaf_ = At.Mute_ = !At.Deaf_;
+        break;
+      case 3:
+        World.rebirth(Id);
+        break;
+      case 4:
+        World.StoreDown_ = !World.StoreDown_;
+        break;
+      case 5:
+        At.StandsStill_ = !At.StandsStill_;
+        break;
+      default:
+        World.submit("j" + std::to_string(Submitted++),
+                     chain(1 + static_cast<uint32_t>(World.Random_.below(3)),
+                           1 + static_cast<uint32_t>(World.Random_.below(5))));
+      }
+      World.run(milliseconds(200 + World.Random_.below(1500)));
+    }
+    World.StoreDown_ = false;
+    World.LateStarts_ = World.LostAnswers_ = 0;
+    for (auto &[Id, At] : World.Workers_)
+      At.Mute_ = At.Deaf_ = At.StandsStill_ = false;
+    World.run(seconds(40));
+    for (int I = 0; I < Submitted; ++I)
+      CHECK(World.state("j" + std::to_string(I)) == JobState::Completed);
+    requireNoBreach(World);
+  }
+}
+
+} // namespace crocuslead::jobs::test
