--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -104,7 +104,7 @@
   base::Duration Delay = std::min<base::Duration>(
       MaxDelay, RoundTrip_ * DelayPerRoundTrip +
                     std::chrono::milliseconds(Random_.below(JitterMs)));
-  CampaignAt_ = Clock_.now() + Delay;
+  CampaignAt_ = Clock_.now() + Delay + Settings_.Handicap_;
 }
 
 void Election::tick() {
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -29,6 +29,8 @@
   std::string KeyPrefix_;
   //! The store removes the holder's key this long after its last renewal.
   std::chrono::seconds LeaseTime_{2};
+  //! Added to the delay before a campaign, so that small instances run last.
+  base::Duration Handicap_{};
   base::Duration RenewInterval_ = std::chrono::milliseconds(500);
 };
 
