Place best-effort tasks by the pace that their neighbours bear

Cause: a task that could work at nearly its full speed waited for a worker with headroom for all of it, while paced neighbours counted at full pace.

--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -92,11 +92,10 @@
   Source_.followWorkers(true);
   Jobs_ = std::make_unique<store::Mirror>(
       Store_, Clock_, std::string(JobKeys::Jobs),
-      store::Mirror::Hooks{
-          [this](const store::KeyValue &Value, bool Deleted) {
-            jobKeyChanged(Value, Deleted);
-          },
-          nullptr});
+      store::Mirror::Hooks{[this](const store::KeyValue &Value, bool Deleted) {
+                             jobKeyChanged(Value, Deleted);
+                           },
+                           nullptr});
   Jobs_->tick();
 }
 
@@ -185,10 +184,10 @@
     if (!Record)
       continue;
     auto It = Progress.find(Parsed.Id_);
-    Coordinator_->restoreJob(
-        Parsed.Id_, std::move(*Record),
-        It == Progress.end() ? std::nullopt
-                             : std::optional<JobProgress>(It->second));
+    Coordinator_->restoreJob(Parsed.Id_, std::move(*Record),
+                             It == Progress.end()
+                                 ? std::nullopt
+                                 : std::optional<JobProgress>(It->second));
     if (Jobs_->find(JobKeys::cancel(Parsed.Id_)) != nullptr)
       Coordinator_->cancelJob(Parsed.Id_);
   }
@@ -223,28 +222,28 @@
   for (auto &[Key, Value] : Batch.Writes_)
     Request.Puts_.push_back(
         {std::string(JobKeys::Work) + Key, std::move(Value), 0});
-  Store_.txn(std::move(Request),
-             [this, Weak = std::weak_ptr<int>(Alive_), Number = Batch.Number_,
-              Sent = Clock_.now()](
-                 const store::StoreResult<store::TxnReply> &Result) {
-               if (Weak.expired())
-                 return;
-               Metrics_
-                   .histogram("crocuslead_commit_seconds",
-                              "Duration of progress commits.")
-                   .record(Clock_.now() - Sent);
-               const auto *Reply = std::get_if<store::TxnReply>(&Result);
-               CommitResult Outcome = CommitResult::Unconfirmed;
-               if (Reply != nullptr)
-                 Outcome = Reply->Succeeded_ ? CommitResult::Durable
-                                             : CommitResult::Superseded;
-               else
-                 base::logEvent(
-                     base::LogLevel::Warn, "commit-unconfirmed",
-                     {{"commit", Number},
-                      {"reason", std::get<store::StoreError>(Result).Message_}});
-               Coordinator_->commitDone(Number, Outcome);
-             });
+  Store_.txn(
+      std::move(Request),
+      [this, Weak = std::weak_ptr<int>(Alive_), Number = Batch.Number_,
+       Sent = Clock_.now()](const store::StoreResult<store::TxnReply> &Result) {
+        if (Weak.expired())
+          return;
+        Metrics_
+            .histogram("crocuslead_commit_seconds",
+                       "Duration of progress commits.")
+            .record(Clock_.now() - Sent);
+        const auto *Reply = std::get_if<store::TxnReply>(&Result);
+        CommitResult Outcome = CommitResult::Unconfirmed;
+        if (Reply != nullptr)
+          Outcome = Reply->Succeeded_ ? CommitResult::Durable
+                                      : CommitResult::Superseded;
+        else
+          base::logEvent(
+              base::LogLevel::Warn, "commit-unconfirmed",
+              {{"commit", Number},
+               {"reason", std::get<store::StoreError>(Result).Message_}});
+        Coordinator_->commitDone(Number, Outcome);
+      });
 }
 
 void CoordinatorHost::removeExpired() {
@@ -260,16 +259,15 @@
                               {{JobKeys::spec(Ids[I]), ""},
                                {JobKeys::cancel(Ids[I]), ""},
                                {JobKeys::progress(Ids[I]), ""}});
-    Store_.txn(std::move(Request),
-               [Count = To - From](
-                   const store::StoreResult<store::TxnReply> &Result) {
-                 // Records that stay are found again by the next term.
-                 base::logEvent(
-                     base::LogLevel::Info, "expired-jobs-removed",
-                     {{"jobs", static_cast<int64_t>(Count)},
-                      {"answered",
-                       std::holds_alternative<store::TxnReply>(Result)}});
-               });
+    Store_.txn(
+        std::move(Request),
+        [Count = To - From](const store::StoreResult<store::TxnReply> &Result) {
+          // Records that stay are found again by the next term.
+          base::logEvent(
+              base::LogLevel::Info, "expired-jobs-removed",
+              {{"jobs", static_cast<int64_t>(Count)},
+               {"answered", std::holds_alternative<store::TxnReply>(Result)}});
+        });
   }
 }
 
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -126,8 +126,8 @@
   }
   LeaseCall_ = true;
   Store_.leaseKeepAlive(
-      Lease_, [this, Weak = std::weak_ptr<int>(Alive_), Sent = Clock_.now()](
-                  const store::StoreResult<int64_t> &Result) {
+      Lease_, [this, Weak = std::weak_ptr<int>(Alive_),
+               Sent = Clock_.now()](const store::StoreResult<int64_t> &Result) {
         if (Weak.expired())
           return;
         LeaseCall_ = false;
@@ -147,22 +147,22 @@
 
 void Election::grantLease() {
   LeaseCall_ = true;
-  Store_.leaseGrant(Settings_.LeaseTime_,
-                    [this, Weak = std::weak_ptr<int>(Alive_),
-                     Sent = Clock_.now()](
-                        const store::StoreResult<int64_t> &Result) {
-                      if (Weak.expired())
-                        return;
-                      LeaseCall_ = false;
-                      const auto *Lease = std::get_if<int64_t>(&Result);
-                      if (Lease == nullptr)
-                        return;
-                      LastContact_ = Clock_.now();
-                      RoundTrip_ = Clock_.now() - Sent;
-                      Lease_ = *Lease;
-                      if (Term_ != 0)
-                        holdAgain();
-                    });
+  Store_.leaseGrant(
+      Settings_.LeaseTime_,
+      [this, Weak = std::weak_ptr<int>(Alive_),
+       Sent = Clock_.now()](const store::StoreResult<int64_t> &Result) {
+        if (Weak.expired())
+          return;
+        LeaseCall_ = false;
+        const auto *Lease = std::get_if<int64_t>(&Result);
+        if (Lease == nullptr)
+          return;
+        LastContact_ = Clock_.now();
+        RoundTrip_ = Clock_.now() - Sent;
+        Lease_ = *Lease;
+        if (Term_ != 0)
+          holdAgain();
+      });
 }
 
 std::string Election::holderValue(uint64_t Term) const {
@@ -180,11 +180,10 @@
   const store::KeyValue *TermValue = Keys_.find(termKey());
   uint64_t Term = parseTerm(TermValue) + 1;
   store::Txn Request;
-  Request.Compares_ = {
-      {holderKey(), store::CompareTarget::ModRevision,
-       Holder != nullptr ? Holder->ModRevision_ : 0},
-      {termKey(), store::CompareTarget::ModRevision,
-       TermValue != nullptr ? TermValue->ModRevision_ : 0}};
+  Request.Compares_ = {{holderKey(), store::CompareTarget::ModRevision,
+                        Holder != nullptr ? Holder->ModRevision_ : 0},
+                       {termKey(), store::CompareTarget::ModRevision,
+                        TermValue != nullptr ? TermValue->ModRevision_ : 0}};
   Request.Puts_ = {{holderKey(), holderValue(Term), Lease_},
                    {termKey(), std::to_string(Term), 0}};
   Store_.txn(std::move(Request),
@@ -266,16 +265,16 @@
   const store::KeyValue *Holder = Keys_.find(holderKey());
   lose("resigned");
   store::Txn Request;
-  Request.Compares_ = {{termKey(), store::CompareTarget::ModRevision,
-                        TermRevision_}};
+  Request.Compares_ = {
+      {termKey(), store::CompareTarget::ModRevision, TermRevision_}};
   if (Holder != nullptr)
     Request.Deletes_ = {{holderKey(), ""}};
-  Store_.txn(std::move(Request),
-             [Done = std::move(Done)](
-                 const store::StoreResult<store::TxnReply> &) {
-               // Without an answer the lease ends the office.
-               Done();
-             });
+  Store_.txn(
+      std::move(Request),
+      [Done = std::move(Done)](const store::StoreResult<store::TxnReply> &) {
+        // Without an answer the lease ends the office.
+        Done();
+      });
 }
 
 } // namespace crocuslead::jobs
--- a/src/jobs/JobService.cpp
+++ b/src/jobs/JobService.cpp
@@ -106,17 +106,17 @@
     return;
   }
   bool Good = *Outcome == Change::Done;
-  base::logEvent(Good ? base::LogLevel::Info : base::LogLevel::Warn,
-                 "job-write",
-                 {{"job", Job->Id_},
-                  {"call", Job->What_},
-                  {"outcome", Good ? "done"
-                              : *Outcome == Change::Unknown ? "unknown"
-                                                            : "not-done"},
-                  {"tries", Job->Tries_},
-                  {"took_ms", base::toMillis(now() - Job->Begun_)},
-                  {"store_contact_age_ms", base::toMillis(Office_.contactAge())},
-                  {"reason", Failure != nullptr ? Failure->Message_ : ""}});
+  base::logEvent(
+      Good ? base::LogLevel::Info : base::LogLevel::Warn, "job-write",
+      {{"job", Job->Id_},
+       {"call", Job->What_},
+       {"outcome", Good                          ? "done"
+                   : *Outcome == Change::Unknown ? "unknown"
+                                                 : "not-done"},
+       {"tries", Job->Tries_},
+       {"took_ms", base::toMillis(now() - Job->Begun_)},
+       {"store_contact_age_ms", base::toMillis(Office_.contactAge())},
+       {"reason", Failure != nullptr ? Failure->Message_ : ""}});
   Metrics_
       .histogram("crocuslead_job_write_seconds",
                  "Duration of submit and cancel calls.",
@@ -155,15 +155,15 @@
   Request.ConnectTimeout_ = Request.Timeout_;
   uint64_t Number = NextQuestion_++;
   auto Exchange =
-      Client_.send(std::move(Request), [this, Weak = std::weak_ptr<int>(Alive_),
-                                        Number, Done = std::move(Done)](
-                                           http::ExchangeResult Result) {
-        if (Weak.expired())
-          return;
-        auto Self = std::move(Questions_[Number]);
-        Questions_.erase(Number);
-        Done(std::move(Result));
-      });
+      Client_.send(std::move(Request),
+                   [this, Weak = std::weak_ptr<int>(Alive_), Number,
+                    Done = std::move(Done)](http::ExchangeResult Result) {
+                     if (Weak.expired())
+                       return;
+                     auto Self = std::move(Questions_[Number]);
+                     Questions_.erase(Number);
+                     Done(std::move(Result));
+                   });
   Questions_[Number] = std::move(Exchange);
 }
 
@@ -211,8 +211,8 @@
         if (!Read->Values_.empty())
           boost::leaf::try_handle_all(
               [&]() -> boost::leaf::result<void> {
-                BOOST_LEAF_AUTO(Progress, decodeJobProgress(
-                                              Read->Values_.front().Value_));
+                BOOST_LEAF_AUTO(
+                    Progress, decodeJobProgress(Read->Values_.front().Value_));
                 Known = Progress.State_;
                 return {};
               },
@@ -223,28 +223,28 @@
               },
               [] {});
         std::string Folder = JobKeys::folder(Id);
-        Store_.range(
-            Folder, store::prefixEnd(Folder),
-            [Id, Known, Done = std::move(Done)](
-                const store::StoreResult<store::RangeReply> &Job) {
-              const auto *Keys = std::get_if<store::RangeReply>(&Job);
-              if (Keys == nullptr) {
-                Done(Lookup::Unavailable, JobState::Queued);
-                return;
-              }
-              bool Exists = false;
-              bool Cancelled = false;
-              for (const store::KeyValue &Each : Keys->Values_) {
-                Exists = Exists || Each.Key_ == JobKeys::spec(Id);
-                Cancelled = Cancelled || Each.Key_ == JobKeys::cancel(Id);
-              }
-              if (!Exists)
-                Done(Lookup::NoSuchJob, JobState::Queued);
-              else
-                Done(Lookup::Found, Cancelled && !isFinal(Known)
-                                        ? JobState::Cancelled
-                                        : Known);
-            });
+        Store_.range(Folder, store::prefixEnd(Folder),
+                     [Id, Known, Done = std::move(Done)](
+                         const store::StoreResult<store::RangeReply> &Job) {
+                       const auto *Keys = std::get_if<store::RangeReply>(&Job);
+                       if (Keys == nullptr) {
+                         Done(Lookup::Unavailable, JobState::Queued);
+                         return;
+                       }
+                       bool Exists = false;
+                       bool Cancelled = false;
+                       for (const store::KeyValue &Each : Keys->Values_) {
+                         Exists = Exists || Each.Key_ == JobKeys::spec(Id);
+                         Cancelled =
+                             Cancelled || Each.Key_ == JobKeys::cancel(Id);
+                       }
+                       if (!Exists)
+                         Done(Lookup::NoSuchJob, JobState::Queued);
+                       else
+                         Done(Lookup::Found, Cancelled && !isFinal(Known)
+                                                 ? JobState::Cancelled
+                                                 : Known);
+                     });
       });
 }
 
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -56,8 +56,7 @@
 std::string Coordinator::Impl::usedWorkersRecord() const {
   auto Rows = nlohmann::json::array();
   for (const Worker *Each : WorkerOrder_)
-    Rows.push_back(
-        {Each->Info_.Id_, Each->Info_.Address_, Each->Info_.Born_});
+    Rows.push_back({Each->Info_.Id_, Each->Info_.Address_, Each->Info_.Born_});
   return Rows.dump();
 }
 
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -94,8 +94,7 @@
   bool wantsLook(const Worker &At) const;
   void lookAnswered(const std::string &Id, int64_t Born, uint64_t Serial,
                     LookReply Reply);
-  void takeLists(Worker &At, const WorkerLists &Lists,
-                 base::TimePoint SentAt);
+  void takeLists(Worker &At, const WorkerLists &Lists, base::TimePoint SentAt);
   void reconcile(Worker &At, const WorkerLists &Lists, base::TimePoint SentAt);
   void adopt(Worker &At, const RunningRow &Row);
   void lookFailed(Worker &At, OrderStatus Status);
@@ -130,7 +129,7 @@
   void learnPressure(Worker &At);
   void protectTails(Worker &At);
   void refreshHeadroom(Worker &Of) const;
-  double headroomLeft(const StepWork &Step, Worker &On) const;
+  double possiblePace(const StepWork &Step, Worker &On) const;
   void setPace(Run &Which, int Percent);
 
   // Commits.cpp
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -84,13 +84,13 @@
         Step->Tasks_[At.Index_].Checkpoint_ = Open.Checkpoint_;
       }
   }
-  base::logEvent(base::LogLevel::Info, "job-known",
-                 {{"job", Id},
-                  {"queue", Owner.Record_.Queue_},
-                  {"steps", static_cast<int64_t>(
-                                Owner.Record_.Spec_.Steps_.size())},
-                  {"restored", Restored},
-                  {"term", Settings_.Term_}});
+  base::logEvent(
+      base::LogLevel::Info, "job-known",
+      {{"job", Id},
+       {"queue", Owner.Record_.Queue_},
+       {"steps", static_cast<int64_t>(Owner.Record_.Spec_.Steps_.size())},
+       {"restored", Restored},
+       {"term", Settings_.Term_}});
   PassWanted_ = true;
 }
 
@@ -245,8 +245,7 @@
     finishJob(*Owner, JobState::Cancelled, "cancelled-by-caller");
 }
 
-std::optional<JobState>
-Coordinator::Impl::state(const std::string &Id) const {
+std::optional<JobState> Coordinator::Impl::state(const std::string &Id) const {
   auto It = Jobs_.find(Id);
   if (It == Jobs_.end())
     return std::nullopt;
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -65,8 +65,8 @@
       continue;
     const StepSpec &Spec = *Served->Step_->Spec_;
     double Seen = std::min(
-        MaxHeadroom, static_cast<double>(base::toMillis(Spec.TailTarget_)) /
-                         Served->Load_);
+        MaxHeadroom,
+        static_cast<double>(base::toMillis(Spec.TailTarget_)) / Served->Load_);
     if (Served->SeenHeadroom_ && Recent)
       Pressure_.observe(Served->Step_->Image_, Seen - *Served->SeenHeadroom_,
                         At.SeenUse_, Use);
@@ -77,8 +77,8 @@
       Served->OverSince_ = now();
     At.TailOver_ = At.TailOver_ || Served->OverSince_;
     double Own = Seen + Pressure_.taken(Use, Served->Step_->Image_);
-    Served->OwnHeadroom_ = Served->OwnHeadroom_.value_or(Own) * (1 - OwnWeight) +
-                           Own * OwnWeight;
+    Served->OwnHeadroom_ =
+        Served->OwnHeadroom_.value_or(Own) * (1 - OwnWeight) + Own * OwnWeight;
   }
   At.HeadroomStale_ = true;
   At.SeenUse_ = std::move(Use);
@@ -87,7 +87,6 @@
 
 // Slows best-effort tasks to what the serving tasks beside them can bear.
 void Coordinator::Impl::protectTails(Worker &At) {
-  learnPressure(At);
   std::vector<std::pair<Run *, double>> Shares;
   for (Run *Each : At.Runs_)
     if (isBestEffort(*Each))
@@ -128,9 +127,8 @@
     int Wanted = static_cast<int>(Share * FullPace);
     if (Wanted < LowestPace)
       Wanted = 0;
-    if (Wanted != Each->Pace_ &&
-        (std::abs(Wanted - Each->Pace_) >= PaceStep || Wanted == 0 ||
-         Wanted == FullPace))
+    if (Wanted != Each->Pace_ && (std::abs(Wanted - Each->Pace_) >= PaceStep ||
+                                  Wanted == 0 || Wanted == FullPace))
       setPace(*Each, Wanted);
   }
 }
@@ -138,16 +136,17 @@
 void Coordinator::Impl::refreshHeadroom(Worker &Of) const {
   Of.HeadroomStale_ = false;
   Of.HeadroomLeft_.clear();
-  internal::UseByImage Full;
+  internal::UseByImage Use;
   for (const Run *Each : Of.Runs_)
     if (Each->Step_->Spec_->BestEffort_)
-      Full[Each->Step_->Image_] += fullUse(*Each->Step_, Of);
+      Use[Each->Step_->Image_] +=
+          fullUse(*Each->Step_, Of) * Each->Pace_ / FullPace;
   for (const Run *Served : Of.Runs_) {
     if (Served->Step_->Spec_->TailTarget_.count() <= 0)
       continue;
     internal::ImageNumber Image = Served->Step_->Image_;
     double Left = Served->OwnHeadroom_.value_or(StartHeadroom) - StartHeadroom -
-                  Pressure_.taken(Full, Image);
+                  Pressure_.taken(Use, Image);
     auto Known = std::find_if(Of.HeadroomLeft_.begin(), Of.HeadroomLeft_.end(),
                               [&](const auto &E) { return E.first == Image; });
     if (Known == Of.HeadroomLeft_.end())
@@ -157,16 +156,16 @@
   }
 }
 
-// Headroom that the tightest of those serving tasks on a worker that feel this
-// step would have left above what is kept.
-double Coordinator::Impl::headroomLeft(const StepWork &Step, Worker &On) const {
+// Share of its full speed at which a task of this step could work on a worker
+// now, so that every serving task keeps its headroom.
+double Coordinator::Impl::possiblePace(const StepWork &Step, Worker &On) const {
   if (On.HeadroomStale_)
     refreshHeadroom(On);
-  double Least = MaxHeadroom;
+  double Least = 1;
   for (const auto &[Image, Left] : On.HeadroomLeft_) {
     double Pressure = Pressure_.pressure(Step.Image_, Image);
     if (Pressure > 0)
-      Least = std::min(Least, Left - Pressure * fullUse(Step, On));
+      Least = std::min(Least, Left / (Pressure * fullUse(Step, On)));
   }
   return Least;
 }
@@ -195,6 +194,7 @@
           // The time at the old pace says nothing about a stall.
           Of->ProgressAt_ = Self->now();
           Of->Pace_ = Percent;
+          Of->Worker_->HeadroomStale_ = true;
         } else if (Reply.Status_ == OrderStatus::Fenced) {
           Self->fenced("pace", *Of->Worker_);
         }
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -13,14 +13,14 @@
 // Weights of a worker's score; the free share of the CPU counts 1.
 constexpr double RackScore = 10;
 constexpr double SlownessScore = 1.0;
-constexpr double HeadroomScore = 2;
+constexpr double PaceScore = 2;
 constexpr double SameImageScore = 0.4;
 constexpr double MaxImageScore = 2.0;
 // Workers without serving tasks are used last.
 constexpr double NoServingScore = 0.4;
 constexpr double NoServingPacking = 0.1;
-// Best-effort tasks beside others start where at least this is left.
-constexpr double LeastHeadroomLeft = 0;
+// Best-effort tasks start where they can work at this share of their speed.
+constexpr double LeastStartPace = 0.8;
 constexpr double AvoidedScore = 5;
 // A copy is started when a task takes this many times the time expected.
 constexpr double CopyFactor = 2.0;
@@ -47,13 +47,13 @@
   if (On.TailOver_)
     return false;
   if (On.BestEffortCpu_ == 0)
-    return headroomLeft(Step, On) > LeastHeadroomLeft;
-  double Idle = static_cast<double>(On.Info_.Room_.MilliCpu_ -
-                                    On.Reserved_.MilliCpu_) +
-                (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
+    return possiblePace(Step, On) >= LeastStartPace;
+  double Idle =
+      static_cast<double>(On.Info_.Room_.MilliCpu_ - On.Reserved_.MilliCpu_) +
+      (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
   return static_cast<double>(On.BestEffortCpu_ + Spec.Request_.MilliCpu_) <=
              Idle &&
-         headroomLeft(Step, On) > LeastHeadroomLeft;
+         possiblePace(Step, On) >= LeastStartPace;
 }
 
 bool Coordinator::Impl::eligible(const StepWork &Step, const Task &Of,
@@ -88,8 +88,8 @@
   double Images = 0;
   for (const Run *Each : On.Runs_)
     if (Each->Step_->Spec_->TailTarget_.count() > 0)
-      Images += Each->Step_->Image_ == Step.Image_ ? SameImageScore
-                                                   : -SameImageScore;
+      Images +=
+          Each->Step_->Image_ == Step.Image_ ? SameImageScore : -SameImageScore;
   double Room =
       std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
   double Score = static_cast<double>(On.Reserved_.MilliCpu_) / Room +
@@ -98,18 +98,19 @@
   return On.Serving_ == 0 ? Score - NoServingPacking : Score;
 }
 
-double Coordinator::Impl::placementScore(const StepWork &Step,
-                                         Worker &On,
+double Coordinator::Impl::placementScore(const StepWork &Step, Worker &On,
                                          const std::string *WantedRack) const {
   const StepSpec &Spec = *Step.Spec_;
-  double Room = std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
+  double Room =
+      std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
   double Used =
       static_cast<double>(On.Reserved_.MilliCpu_ + On.BestEffortCpu_) -
       (1 - ServingUse) * static_cast<double>(On.ServingCpu_);
-  double Score = 1 - (Used + static_cast<double>(Spec.Request_.MilliCpu_)) / Room;
+  double Score =
+      1 - (Used + static_cast<double>(Spec.Request_.MilliCpu_)) / Room;
   Score -= SlownessScore * std::max(0.0, On.Slowness_ - 1);
   if (Spec.BestEffort_)
-    Score += HeadroomScore * std::min(1.0, headroomLeft(Step, On)) -
+    Score += PaceScore * possiblePace(Step, On) -
              (On.Serving_ == 0 ? NoServingScore : 0);
   if (Spec.TailTarget_.count() > 0)
     Score = packingScore(Step, On);
@@ -217,10 +218,10 @@
     }
     if (placeStep(Step))
       ++Starts;
-    bool Waits = std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(),
-                             [](const Task &Of) {
-                               return !Of.Done_ && Of.Runs_.empty();
-                             });
+    bool Waits =
+        std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(), [](const Task &Of) {
+          return !Of.Done_ && Of.Runs_.empty();
+        });
     if (Waits && Step.Spec_->BestEffort_)
       NoRoom.insert(Step.Image_);
     It = Waits ? std::next(It) : Ready_.erase(It);
@@ -243,8 +244,8 @@
     double Expected = Step.Measured_ > 0
                           ? Step.MeanSeconds_
                           : base::toSeconds(Step.Spec_->Estimate_);
-    bool Unsure = Each->Phase_ != RunPhase::Running ||
-                  !reachable(*Each->Worker_);
+    bool Unsure =
+        Each->Phase_ != RunPhase::Running || !reachable(*Each->Worker_);
     if (Unsure ||
         (Age > MinCopyAge && base::toSeconds(Age) > CopyFactor * Expected))
       Late.push_back(Each.get());
--- a/src/jobs/internal/PressureModel.cpp
+++ b/src/jobs/internal/PressureModel.cpp
@@ -31,8 +31,7 @@
 }
 
 ImageNumber PressureModel::numberOf(const std::string &Image) {
-  return Numbers_
-      .try_emplace(Image, static_cast<ImageNumber>(Numbers_.size()))
+  return Numbers_.try_emplace(Image, static_cast<ImageNumber>(Numbers_.size()))
       .first->second;
 }
 
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -30,9 +30,9 @@
 constexpr int FullPercent = 100;
 
 const char *endName(RunEnd How) {
-  constexpr const char *Names[] = {"done",          "failed",
-                                   "stopped",       "lease-expired",
-                                   "gang-broken",   "gang-incomplete"};
+  constexpr const char *Names[] = {"done",        "failed",
+                                   "stopped",     "lease-expired",
+                                   "gang-broken", "gang-incomplete"};
   return Names[static_cast<int>(How)];
 }
 
@@ -152,6 +152,8 @@
       Which->Since_ = Which->StartedAt_ = Which->ProgressAt_ = now();
     }
     On.LookFailures_ = 0;
+    if (Which->Step_->Spec_->BestEffort_)
+      protectTails(On);
     return;
   }
   base::logEvent(base::LogLevel::Warn, "task-start-not-accepted",
@@ -186,13 +188,14 @@
     return;
   Which.Phase_ = RunPhase::Stopping;
   Which.Since_ = now();
-  base::logEvent(base::LogLevel::Info, "task-stop",
-                 {{"task", taskName({Which.Job_->Id_, Which.At_})},
-                  {"run", Which.Number_},
-                  {"worker", Which.Worker_->Info_.Id_},
-                  {"reason", Reason},
-                  {"percent", Which.Percent_},
-                  {"report_age_ms", base::toMillis(now() - Which.ProgressAt_)}});
+  base::logEvent(
+      base::LogLevel::Info, "task-stop",
+      {{"task", taskName({Which.Job_->Id_, Which.At_})},
+       {"run", Which.Number_},
+       {"worker", Which.Worker_->Info_.Id_},
+       {"reason", Reason},
+       {"percent", Which.Percent_},
+       {"report_age_ms", base::toMillis(now() - Which.ProgressAt_)}});
   sendStop(Which);
 }
 
@@ -260,18 +263,18 @@
     double Took = base::toSeconds(now() - Which->StartedAt_);
     if (Step.Measured_ > 0 && Which->Pace_ == FullPercent &&
         Step.MeanSeconds_ > 0)
-      On.Slowness_ += SlownessWeight * (Took / Step.MeanSeconds_ - On.Slowness_);
+      On.Slowness_ +=
+          SlownessWeight * (Took / Step.MeanSeconds_ - On.Slowness_);
     ++Step.Measured_;
     Step.MeanSeconds_ += (Took - Step.MeanSeconds_) / Step.Measured_;
-    Metrics_
-        .histogram("crocuslead_task_run_seconds", "Run time of done tasks.")
+    Metrics_.histogram("crocuslead_task_run_seconds", "Run time of done tasks.")
         .record(now() - Which->StartedAt_);
   } else if (Row.How_ == RunEnd::Failed) {
     if (++On.FailStreak_ >= SuspectStreak) {
       On.AvoidUntil_ = now() + SuspectPause;
-      base::logEvent(base::LogLevel::Warn, "worker-suspected",
-                     {{"worker", On.Info_.Id_},
-                      {"failures_in_a_row", On.FailStreak_}});
+      base::logEvent(
+          base::LogLevel::Warn, "worker-suspected",
+          {{"worker", On.Info_.Id_}, {"failures_in_a_row", On.FailStreak_}});
     }
   }
 }
@@ -353,9 +356,9 @@
     return;
   }
   double Elapsed = base::toSeconds(now() - Which.StartedAt_);
-  if (Of.Moves_ >= MaxMoves || Which.Adopted_ || Spec.LongRunning_ || Spec.Gang_ || Spec.BestEffort_ ||
-      Which.Step_->Measured_ < 2 || Which.Percent_ <= 0 ||
-      Which.Percent_ > FullPercent / 2)
+  if (Of.Moves_ >= MaxMoves || Which.Adopted_ || Spec.LongRunning_ ||
+      Spec.Gang_ || Spec.BestEffort_ || Which.Step_->Measured_ < 2 ||
+      Which.Percent_ <= 0 || Which.Percent_ > FullPercent / 2)
     return;
   double Reported = base::toSeconds(Which.ProgressAt_ - Which.StartedAt_);
   double Expected = Reported * FullPercent / Which.Percent_;
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -169,7 +169,8 @@
 
 int64_t Coordinator::Impl::grantLease(Worker &To) {
   base::Duration Since = now() - To.Clock_->At_;
-  int64_t Until = To.Clock_->WorkerMs_ + millis(Since + Settings_.Times_.Lease_);
+  int64_t Until =
+      To.Clock_->WorkerMs_ + millis(Since + Settings_.Times_.Lease_);
   auto Bound = std::chrono::duration_cast<base::Duration>(
       (Since + Settings_.Times_.Lease_) / SlowestWorkerClock);
   To.LeaseBound_ = std::max(To.LeaseBound_, To.Clock_->At_ + Bound);
@@ -216,8 +217,8 @@
     Order.LeaseUntilMs_ = grantLease(At);
   bool Settled = At.Known_ && At.LookFailures_ == 0 && !At.Runs_.empty() &&
                  At.PendingEnds_.empty();
-  bool Doubts = std::any_of(
-      At.Runs_.begin(), At.Runs_.end(), [](const Run *Each) {
+  bool Doubts =
+      std::any_of(At.Runs_.begin(), At.Runs_.end(), [](const Run *Each) {
         return Each->Phase_ == RunPhase::Doubtful ||
                (Each->Phase_ == RunPhase::Stopping && Each->StopAnsweredAt_);
       });
@@ -230,8 +231,8 @@
   At.AcknowledgedSent_ = At.Acknowledged_;
   uint64_t Serial = ++At.LookSerial_;
   Port_.look(addressOf(At), Order,
-             [Weak = weak_from_this(), Id = At.Info_.Id_,
-              Born = At.Info_.Born_, Serial](LookReply Reply) {
+             [Weak = weak_from_this(), Id = At.Info_.Id_, Born = At.Info_.Born_,
+              Serial](LookReply Reply) {
                if (auto Self = Weak.lock())
                  Self->lookAnswered(Id, Born, Serial, std::move(Reply));
              });
@@ -273,9 +274,8 @@
                     {"status", static_cast<int64_t>(Status)},
                     {"runs", static_cast<int64_t>(At.Runs_.size())},
                     {"lease_left_ms", millis(At.LeaseBound_ - now())}});
-  At.NextLookAt_ =
-      now() + std::min<base::Duration>(LookRetryMax,
-                                       LookRetry * At.LookFailures_);
+  At.NextLookAt_ = now() + std::min<base::Duration>(
+                               LookRetryMax, LookRetry * At.LookFailures_);
 }
 
 void Coordinator::Impl::takeLists(Worker &At, const WorkerLists &Lists,
@@ -322,6 +322,7 @@
       At.PendingEnds_.push_back({Row.Number_, "", 0});
   }
   reconcile(At, Lists, SentAt);
+  learnPressure(At);
   protectTails(At);
   At.NextLookAt_ = At.PendingEnds_.empty() ? now() : now() + UndurableLookPause;
 }
@@ -331,12 +332,12 @@
 void Coordinator::Impl::reconcile(Worker &At, const WorkerLists &Lists,
                                   base::TimePoint SentAt) {
   for (Run *Which : std::vector<Run *>(At.Runs_)) {
-    bool Listed = std::any_of(
-        Lists.Running_.begin(), Lists.Running_.end(),
-        [&](const RunningRow &Row) {
-          return Row.Run_ == Which->Number_ && Row.Task_.At_ == Which->At_ &&
-                 Row.Task_.Job_ == Which->Job_->Id_;
-        });
+    bool Listed = std::any_of(Lists.Running_.begin(), Lists.Running_.end(),
+                              [&](const RunningRow &Row) {
+                                return Row.Run_ == Which->Number_ &&
+                                       Row.Task_.At_ == Which->At_ &&
+                                       Row.Task_.Job_ == Which->Job_->Id_;
+                              });
     if (Listed)
       continue;
     if (Which->Phase_ == RunPhase::Doubtful && SentAt >= Which->Since_)
@@ -390,9 +391,8 @@
                   {"runs", static_cast<int64_t>(Of.Runs_.size())}});
   for (Run *Which : std::vector<Run *>(Of.Runs_))
     runVanished(*Which, Reason);
-  WorkerOrder_.erase(
-      std::remove(WorkerOrder_.begin(), WorkerOrder_.end(), &Of),
-      WorkerOrder_.end());
+  WorkerOrder_.erase(std::remove(WorkerOrder_.begin(), WorkerOrder_.end(), &Of),
+                     WorkerOrder_.end());
   WorkerInfo Info = Of.Info_;
   bool Listed = Of.Listed_;
   Workers_.erase(Id);
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -91,21 +91,21 @@
 }
 
 void Mirror::watch(int64_t FromRevision) {
-  Watch_ = Store_.watch(
-      Prefix_, prefixEnd(Prefix_), FromRevision,
-      [this, Weak = std::weak_ptr<int>(Alive_)](
-          const StoreResult<WatchBatch> &Result) {
-        if (Weak.expired())
-          return;
-        if (const auto *Batch = std::get_if<WatchBatch>(&Result)) {
-          for (const WatchEvent &Event : Batch->Events_)
-            apply(Event);
-          return;
-        }
-        Watch_.reset();
-        failed("watch", std::get<StoreError>(Result).Message_);
-        NextRead_ = Clock_.now();
-      });
+  Watch_ =
+      Store_.watch(Prefix_, prefixEnd(Prefix_), FromRevision,
+                   [this, Weak = std::weak_ptr<int>(Alive_)](
+                       const StoreResult<WatchBatch> &Result) {
+                     if (Weak.expired())
+                       return;
+                     if (const auto *Batch = std::get_if<WatchBatch>(&Result)) {
+                       for (const WatchEvent &Event : Batch->Events_)
+                         apply(Event);
+                       return;
+                     }
+                     Watch_.reset();
+                     failed("watch", std::get<StoreError>(Result).Message_);
+                     NextRead_ = Clock_.now();
+                   });
 }
 
 void Mirror::apply(const WatchEvent &Event) {
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -230,8 +230,8 @@
 
 void JobWorld::breach(const std::string &Text) {
   Oracle_.Breaches_.push_back(
-      std::to_string(base::toMillis(now().time_since_epoch())) + " ms: " +
-      Text);
+      std::to_string(base::toMillis(now().time_since_epoch())) +
+      " ms: " + Text);
 }
 
 OrderStatus JobWorld::execute(FakeWorker &At, const StartOrder &Order) {
@@ -255,8 +255,7 @@
   if (!Spec.Speculative_ && !Oracle_.RunsOn_[Name].empty())
     breach(Name + " runs on " + At.Info_.Id_ + " and " +
            *Oracle_.RunsOn_[Name].begin());
-  if (!Spec.LongRunning_ && Oracle_.Done_.count(Name) > 0 &&
-      !Spec.Speculative_)
+  if (!Spec.LongRunning_ && Oracle_.Done_.count(Name) > 0 && !Spec.Speculative_)
     breach(Name + " starts after it was done");
   if (!Spec.LongRunning_ && Oracle_.Failures_[Name] >= 3)
     breach(Name + " starts after its attempts were used up");
@@ -276,8 +275,8 @@
   if (Reserved > At.Info_.Room_.MilliCpu_)
     breach(At.Info_.Id_ + " is committed beyond its processors");
   FakeRun &Made = At.Runs_[Name];
-  Made = {Order.Task_, Order.Run_, now(), RunLength_, {}, At.FailsAll_,
-          At.StandsStill_, 100};
+  Made = {Order.Task_, Order.Run_,   now(),           RunLength_,
+          {},          At.FailsAll_, At.StandsStill_, 100};
   if (Spec.LongRunning_)
     Made.Length_ = {};
   Oracle_.RunsOn_[Name].insert(At.Info_.Id_);
@@ -320,9 +319,8 @@
     after(CallTimeout, [Done] { Done({OrderStatus::Unknown, {}}); });
     return;
   }
-  deliver(Id, std::move(Done), [this, Order](FakeWorker &At) {
-    return execute(At, Order);
-  });
+  deliver(Id, std::move(Done),
+          [this, Order](FakeWorker &At) { return execute(At, Order); });
 }
 
 void JobWorld::stop(const WorkerAddress &To, const StopOrder &Order,
@@ -360,41 +358,39 @@
   auto Lists = std::make_shared<WorkerLists>();
   std::string Id = To.Id_;
   after(Wait, [=] {
-    deliver(Id,
-            [Done, Lists](const OrderReply &Reply) {
-              Done({Reply.Status_, *Lists});
-            },
-            [this, Order, Lists](FakeWorker &At) {
-              if (Order.Token_ < At.Token_)
-                return OrderStatus::Fenced;
-              At.Token_ = Order.Token_;
-              if (Order.LeaseUntilMs_)
-                At.LeaseEnd_ = std::max(
-                    At.LeaseEnd_,
-                    At.Born_ +
-                        std::chrono::milliseconds(*Order.LeaseUntilMs_));
-              At.Ended_.erase(
-                  std::remove_if(At.Ended_.begin(), At.Ended_.end(),
-                                 [&](const EndedRow &Row) {
-                                   return Row.Number_ <=
-                                          Order.AcknowledgedEnd_;
-                                 }),
-                  At.Ended_.end());
-              Lists->ClockMs_ = clockMs(At);
-              Lists->Born_ = At.Info_.Born_;
-              Lists->Ended_ = At.Ended_;
-              for (const auto &[Name, Each] : At.Runs_) {
-                const StepSpec &Spec = Jobs_.at(Each.Task_.Job_)
-                                           .Spec_.Steps_.at(Each.Task_.At_.Step_);
-                double Load = Spec.TailTarget_.count() > 0
-                                  ? At.TailMs_
-                                  : static_cast<double>(
-                                        Spec.Request_.MilliCpu_);
-                Lists->Running_.push_back(
-                    {Each.Task_, Each.Number_, "", percent(Each), Load});
-              }
-              return OrderStatus::Accepted;
-            });
+    deliver(
+        Id,
+        [Done, Lists](const OrderReply &Reply) {
+          Done({Reply.Status_, *Lists});
+        },
+        [this, Order, Lists](FakeWorker &At) {
+          if (Order.Token_ < At.Token_)
+            return OrderStatus::Fenced;
+          At.Token_ = Order.Token_;
+          if (Order.LeaseUntilMs_)
+            At.LeaseEnd_ = std::max(
+                At.LeaseEnd_,
+                At.Born_ + std::chrono::milliseconds(*Order.LeaseUntilMs_));
+          At.Ended_.erase(std::remove_if(At.Ended_.begin(), At.Ended_.end(),
+                                         [&](const EndedRow &Row) {
+                                           return Row.Number_ <=
+                                                  Order.AcknowledgedEnd_;
+                                         }),
+                          At.Ended_.end());
+          Lists->ClockMs_ = clockMs(At);
+          Lists->Born_ = At.Info_.Born_;
+          Lists->Ended_ = At.Ended_;
+          for (const auto &[Name, Each] : At.Runs_) {
+            const StepSpec &Spec =
+                Jobs_.at(Each.Task_.Job_).Spec_.Steps_.at(Each.Task_.At_.Step_);
+            double Load = Spec.TailTarget_.count() > 0
+                              ? At.TailMs_
+                              : static_cast<double>(Spec.Request_.MilliCpu_);
+            Lists->Running_.push_back(
+                {Each.Task_, Each.Number_, "", percent(Each), Load});
+          }
+          return OrderStatus::Accepted;
+        });
   });
 }
 
--- a/tests/platform/Documents.tests.cpp
+++ b/tests/platform/Documents.tests.cpp
@@ -138,7 +138,8 @@
   CHECK(Lists.Running_[0].Load_ == 17);
   CHECK(Lists.Running_[1].Load_ == 0);
   CHECK(Lists.Ended_[0].How_ == jobs::RunEnd::GangIncomplete);
-  CHECK_THROWS(decodeLists(R"({"clock_ms":1,"running":[],"ended":[[1,"a.0.1.9",1,"odd",""]]})"));
+  CHECK_THROWS(decodeLists(
+      R"({"clock_ms":1,"running":[],"ended":[[1,"a.0.1.9",1,"odd",""]]})"));
   CHECK_THROWS(decodeLists("{}"));
 }
 
--- a/tests/platform/KvStore.tests.cpp
+++ b/tests/platform/KvStore.tests.cpp
@@ -37,10 +37,9 @@
   void serve(std::vector<Step> Steps, std::vector<WatchPace> Paces = {}) {
     Store_.reset();
     Fake_ = std::make_unique<RawServer>(Loop_, std::move(Steps));
-    Store_ =
-        makeKvStore(*Client_, Loop_,
-                    "127.0.0.1:" + std::to_string(Fake_->port()),
-                    std::move(Paces), Counters_);
+    Store_ = makeKvStore(*Client_, Loop_,
+                         "127.0.0.1:" + std::to_string(Fake_->port()),
+                         std::move(Paces), Counters_);
   }
   template <typename T, typename Call> StoreResult<T> wait(Call Start) {
     std::optional<StoreResult<T>> Got;
@@ -57,9 +56,8 @@
     });
   }
   StoreResult<store::RangeReply> folder() {
-    return wait<store::RangeReply>([&](auto Done) {
-      Store_->range("a/", store::prefixEnd("a/"), Done);
-    });
+    return wait<store::RangeReply>(
+        [&](auto Done) { Store_->range("a/", store::prefixEnd("a/"), Done); });
   }
 };
 
@@ -79,10 +77,11 @@
 }
 
 // Guards against a job that is told "not accepted" and runs all the same.
-TEST_CASE_FIXTURE(Fixture, "A failed change tells whether it may have applied") {
+TEST_CASE_FIXTURE(Fixture,
+                  "A failed change tells whether it may have applied") {
   const std::vector<std::pair<Step, bool>> Cases = {
-      {{okAnswer("{")}, true}, {{status(500)}, true},
-      {{status(503)}, false},  {{status(429)}, false},
+      {{okAnswer("{")}, true},      {{status(500)}, true},
+      {{status(503)}, false},       {{status(429)}, false},
       {{status(404, "{}")}, false}, {{"", Then::Reset}, true},
       {{"", Then::Close}, true},
   };
@@ -96,10 +95,11 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "A prefix is read page by page") {
-  serve({{okAnswer(
-             R"({"items":[{"key":"a/1","value":"MQ==","revision":5}],"has_more":true,"at":9})")},
-         {okAnswer(
-             R"({"items":[{"key":"a/2","value":"Mg==","revision":6}],"has_more":false,"at":12})")}});
+  serve(
+      {{okAnswer(
+           R"({"items":[{"key":"a/1","value":"MQ==","revision":5}],"has_more":true,"at":9})")},
+       {okAnswer(
+           R"({"items":[{"key":"a/2","value":"Mg==","revision":6}],"has_more":false,"at":12})")}});
   auto Reply = std::get<store::RangeReply>(folder());
   CHECK(Reply.Values_.size() == 2);
   CHECK(Reply.Values_[1].Value_ == "2");
@@ -118,8 +118,8 @@
 TEST_CASE_FIXTURE(Fixture, "A lease that has ended reads as no time left") {
   serve({{okAnswer(R"({"ttl_ms":300})")}, {status(404, "{}")}});
   auto Keep = [&] {
-    return std::get<int64_t>(wait<int64_t>(
-        [&](auto Done) { Store_->leaseKeepAlive(77, Done); }));
+    return std::get<int64_t>(
+        wait<int64_t>([&](auto Done) { Store_->leaseKeepAlive(77, Done); }));
   };
   CHECK(Keep() == 1);
   CHECK(Keep() == 0);
@@ -127,10 +127,11 @@
 
 TEST_CASE_FIXTURE(Fixture, "A watch goes on through a failed call and ends "
                            "when its history is gone") {
-  serve({{"", Then::Reset},
-         {okAnswer(
-             R"({"events":[{"key":"a/1","value":"MQ==","revision":5},{"key":"a/0","revision":6,"tombstone":true}],"at":6})")},
-         {status(410, "{}")}});
+  serve(
+      {{"", Then::Reset},
+       {okAnswer(
+           R"({"events":[{"key":"a/1","value":"MQ==","revision":5},{"key":"a/0","revision":6,"tombstone":true}],"at":6})")},
+       {status(410, "{}")}});
   int Events = 0;
   bool Ended = false;
   auto Watch = Store_->watch("a/", store::prefixEnd("a/"), 4, [&](auto Result) {
@@ -150,9 +151,10 @@
 // Guards against a crash after a pause of the process: the timer's handler was
 // queued already when the watch was replaced.
 TEST_CASE_FIXTURE(Fixture, "A watch can end while its next call is due") {
-  serve({{okAnswer(
-            R"({"events":[{"key":"a/1","value":"MQ==","revision":5}],"at":5})")}},
-        {{"a/", std::chrono::milliseconds(5)}});
+  serve(
+      {{okAnswer(
+          R"({"events":[{"key":"a/1","value":"MQ==","revision":5}],"at":5})")}},
+      {{"a/", std::chrono::milliseconds(5)}});
   bool Got = false;
   auto Watch = Store_->watch("a/", store::prefixEnd("a/"), 1,
                              [&](const auto &) { Got = true; });
