--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -81,7 +81,7 @@
 //! workers' own lists.
 class Coordinator {
 public:
-  using Commit = std::function<void(CommitBatch)>;
+  using Commit = std::function<void(const CommitBatch &)>;
 
   Coordinator(const CoordinatorSettings &Settings, WorkerPort &Port,
               const base::Clock &Clock, base::MetricsRegistry &Metrics,
--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -88,7 +88,7 @@
   Settings.Times_ = Times_;
   Coordinator_ = std::make_unique<Coordinator>(
       Settings, Port_, Clock_, Metrics_,
-      [this](CommitBatch Batch) { commit(std::move(Batch)); });
+      [this](const CommitBatch &Batch) { commit(Batch); });
   Source_.followWorkers(true);
   Jobs_ = std::make_unique<store::Mirror>(
       Store_, Clock_, std::string(JobKeys::Jobs),
@@ -215,13 +215,12 @@
   Coordinator_->tick();
 }
 
-void CoordinatorHost::commit(CommitBatch Batch) {
+void CoordinatorHost::commit(const CommitBatch &Batch) {
   store::Txn Request;
   Request.Compares_ = {{Office_->termKey(), store::CompareTarget::ModRevision,
                         Office_->termRevision()}};
-  for (auto &[Key, Value] : Batch.Writes_)
-    Request.Puts_.push_back(
-        {std::string(JobKeys::Work) + Key, std::move(Value), 0});
+  for (const auto &[Key, Value] : Batch.Writes_)
+    Request.Puts_.push_back({std::string(JobKeys::Work) + Key, Value, 0});
   Store_.txn(
       std::move(Request),
       [this, Weak = std::weak_ptr<int>(Alive_), Number = Batch.Number_,
--- a/src/jobs/CoordinatorHost.h
+++ b/src/jobs/CoordinatorHost.h
@@ -38,7 +38,7 @@
   void readProgress();
   void restoreAll(const store::RangeReply &Work);
   void jobKeyChanged(const store::KeyValue &Value, bool Deleted);
-  void commit(CommitBatch Batch);
+  void commit(const CommitBatch &Batch);
   void removeExpired();
 
   store::KeyValueStore &Store_;
--- a/src/jobs/WorkerPort.h
+++ b/src/jobs/WorkerPort.h
@@ -127,7 +127,7 @@
 class WorkerPort {
 public:
   using OrderDone = std::function<void(const OrderReply &)>;
-  using LookDone = std::function<void(LookReply)>;
+  using LookDone = std::function<void(const LookReply &)>;
 
   WorkerPort() = default;
   WorkerPort(const WorkerPort &) = delete;
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -70,7 +70,7 @@
     return;
   CommitBatch Batch;
   Batch.Number_ = NextCommit_++;
-  InFlight_.emplace();
+  InFlight_ = InFlightCommit();
   InFlight_->Number_ = Batch.Number_;
   if (UsedWorkersDirty_) {
     UsedWorkersDirty_ = false;
@@ -90,7 +90,7 @@
   }
   DirtySince_ = now();
   CommitUrgent_ = !Dirty_.empty() && CommitUrgent_;
-  Commit_(std::move(Batch));
+  Commit_(Batch);
 }
 
 void Coordinator::Impl::commitDone(uint64_t Number, CommitResult Result) {
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -93,7 +93,7 @@
   void look(Worker &At);
   bool wantsLook(const Worker &At) const;
   void lookAnswered(const std::string &Id, int64_t Born, uint64_t Serial,
-                    LookReply Reply);
+                    const LookReply &Reply);
   void takeLists(Worker &At, const WorkerLists &Lists, base::TimePoint SentAt);
   void reconcile(Worker &At, const WorkerLists &Lists, base::TimePoint SentAt);
   void adopt(Worker &At, const RunningRow &Row);
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -232,14 +232,14 @@
   uint64_t Serial = ++At.LookSerial_;
   Port_.look(addressOf(At), Order,
              [Weak = weak_from_this(), Id = At.Info_.Id_, Born = At.Info_.Born_,
-              Serial](LookReply Reply) {
+              Serial](const LookReply &Reply) {
                if (auto Self = Weak.lock())
-                 Self->lookAnswered(Id, Born, Serial, std::move(Reply));
+                 Self->lookAnswered(Id, Born, Serial, Reply);
              });
 }
 
 void Coordinator::Impl::lookAnswered(const std::string &Id, int64_t Born,
-                                     uint64_t Serial, LookReply Reply) {
+                                     uint64_t Serial, const LookReply &Reply) {
   auto It = Workers_.find(Id);
   if (It == Workers_.end() || It->second->LookSerial_ != Serial ||
       (Born != 0 && It->second->Info_.Born_ != Born) || Superseded_)
