Chain the commits, so that one executed late cannot undo another

Cause: a commit without an answer may be executed seconds later; it required only the term, so it put older progress back, and the next term ran done work again.

Change: each commit requires the revision of a sequence key that the one before set; an unconfirmed one is read back. scripts/soak runs real entry instances against stand-ins of the store and workers with faults from outside.

Ruled out: a condition on each progress key, which halves the jobs of a commit.

--- /dev/null
+++ b/scripts/lib/platform_standin.py
@@ -0,0 +1,352 @@
+"""Stand-in for the users' platform: metadata store and workers, for the soak.
+
+It speaks the published protocol over HTTP/1.1 on loopback and keeps its own account of what ran, which
+the soak checks. Faults are switched on by the soak through the attributes of Store and Worker.
+"""
+
+import asyncio
+import base64
+import json
+import random
+import time
+from urllib.parse import parse_qs, urlsplit
+
+MAX_BODY = 8 << 20
+LATE_SECONDS = (2.0, 6.0)
+
+
+class Drop(Exception):
+    """The connection ends without an answer."""
+
+
+async def serve(handler, host="127.0.0.1", port=0):
+    """Answers each request with handler(method, path, query, headers, body) -> (status, object)."""
+
+    async def connection(reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                method, target, _ = head[0].split(" ", 2)
+                headers = {k.lower(): v.strip() for k, v in (x.split(":", 1) for x in head[1:] if ":" in x)}
+                size = int(headers.get("content-length", 0))
+                body = await reader.readexactly(size) if 0 < size <= MAX_BODY else b""
+                parts = urlsplit(target)
+                query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+                status, answer = await handler(method, parts.path, query, headers, body)
+                data = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                             % (status, len(data)) + data)
+                await writer.drain()
+        except (Drop, asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(connection, host, port, limit=1 << 20)
+    return server, server.sockets[0].getsockname()[1]
+
+
+class Store:
+    """The metadata store: keys with revisions, leases, watches, conditional transactions."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.items, self.history, self.leases = {}, [], {}
+        self.revision, self.next_lease = 1, 100
+        self.changed = asyncio.Condition()
+        self.mode = None  # None, "busy" or "silent"
+        self.lose_answers = 0.0
+        self.late_writes = 0.0
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        old = self.items.get(key)
+        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
+                           "created": old["created"] if old else self.revision, "lease": lease}
+        self.history.append(self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.history.append({"key": key, "revision": self.revision, "tombstone": True})
+
+    async def notify(self):
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def expire(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for lease, (ttl, end) in list(self.leases.items()):
+                if time.monotonic() > end:
+                    await self.end_lease(lease)
+
+    async def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, v in self.items.items() if v["lease"] == lease]:
+            self.remove(key)
+        await self.notify()
+
+    async def handle(self, method, path, query, headers, body):
+        await asyncio.sleep(0.002)
+        if self.mode == "busy":
+            return 503, {}
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            raise Drop
+        call = path.split("/")[2] if path.count("/") >= 2 else ""
+        data = json.loads(body) if body else {}
+        if call == "kv-txn":
+            if self.rng.random() < self.late_writes:
+                asyncio.get_running_loop().create_task(self.apply_late(data))
+                raise Drop
+            answer = await self.txn(data)
+            if self.rng.random() < self.lose_answers:
+                raise Drop
+            return answer
+        return await getattr(self, call.replace("-", "_"))(path, query, data)
+
+    async def apply_late(self, data):
+        await asyncio.sleep(self.rng.uniform(*LATE_SECONDS))
+        await self.txn(data)
+
+    async def txn(self, data):
+        for row in data.get("expected", []):
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": []}
+        for row in data.get("puts", []):
+            if row.get("lease", 0) and row["lease"] not in self.leases:
+                return 404, {}
+        for row in data.get("puts", []):
+            self.put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+        for key in data.get("removals", []):
+            self.remove(key)
+        await self.notify()
+        return 200, {"revision": self.revision}
+
+    async def kv_key(self, path, query, data):
+        item = self.items.get(query["key"])
+        return (200, dict(item, at=self.revision)) if item else (404, {"at": self.revision})
+
+    async def kv_range(self, path, query, data):
+        keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
+        return 200, {"items": [self.items[k] for k in keys[:500]], "has_more": len(keys) > 500,
+                     "at": self.revision}
+
+    async def kv_watch(self, path, query, data):
+        after, prefix = int(query["after"]), query["prefix"]
+        if self.history and after + 1 < self.history[0]["revision"] and after < self.revision - len(self.history):
+            return 410, {}
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            events = [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "at": self.revision}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+    async def kv_lease(self, path, query, data):
+        self.next_lease += 1
+        self.leases[self.next_lease] = (data["ttl_ms"] / 1000, time.monotonic() + data["ttl_ms"] / 1000)
+        return 200, {"lease": self.next_lease, "ttl_ms": data["ttl_ms"]}
+
+    async def kv_keep(self, path, query, data):
+        lease = int(path.rsplit("/", 1)[1])
+        if lease not in self.leases:
+            return 404, {}
+        ttl = self.leases[lease][0]
+        self.leases[lease] = (ttl, time.monotonic() + ttl)
+        return 200, {"ttl_ms": int(ttl * 1000)}
+
+    def compact(self):
+        self.history = []
+
+
+class Account:
+    """What ran where, as the workers saw it."""
+
+    def __init__(self):
+        self.running, self.done, self.breaches, self.started = {}, {}, [], set()
+
+    def start(self, task, worker, order):
+        self.started.add(task.split(".")[0])
+        for other in self.running.get(task, set()):
+            self.breaches.append(f"{task} starts on {worker} and runs on {other}")
+        if self.done.get(task):
+            self.breaches.append(f"{task} starts on {worker} after its end was acknowledged")
+        self.running.setdefault(task, set()).add(worker)
+
+    def end(self, task, worker):
+        self.running.get(task, set()).discard(worker)
+
+
+class Worker:
+    """A worker that runs tasks under leases and fencing tokens."""
+
+    def __init__(self, name, account, rng, cpu=16000):
+        self.name, self.account, self.rng, self.cpu = name, account, rng, cpu
+        self.fail_share, self.stands, self.late_orders = 0.02, False, 0.0
+        self.life()
+
+    def life(self):
+        for task in list(getattr(self, "runs", {})):
+            self.account.end(task, self.name)
+        self.born, self.born_at = int(time.time() * 1000), time.monotonic()
+        self.runs, self.ends, self.highest = {}, [], {}
+        self.token, self.lease_end, self.next_end, self.sequence = 0, 0.0, 1, 0
+        self.event = asyncio.Event()
+
+    def clock(self):
+        return int((time.monotonic() - self.born_at) * 1000)
+
+    def entry(self, port):
+        self.sequence += 1
+        return json.dumps({"service": "desk", "address": f"127.0.0.1:{port}", "zone": "z1", "version": "v1",
+                           "slots": 8, "state": "ready", "cold_remaining_ms": 0, "labels": ["a", "r1"],
+                           "room": {"cpu": self.cpu, "memory_limit_mb": 64000, "gpus": 0},
+                           "sequence": self.sequence, "born": self.born}).encode()
+
+    def finish(self, task, how):
+        run = self.runs.pop(task)
+        self.ends.append([self.next_end, task, run["run"], how, ""])
+        self.next_end += 1
+        self.account.end(task, self.name)
+        self.event.set()
+
+    async def work(self):
+        while True:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            for task in list(self.runs):
+                if self.clock() >= self.lease_end:
+                    self.finish(task, "lapsed")
+                elif not self.stands and now >= self.runs[task]["until"]:
+                    self.finish(task, "failed" if self.runs[task]["fails"] else "done")
+
+    def fenced(self, data):
+        if data.get("fencing_token", 0) < self.token:
+            return True
+        self.token = data.get("fencing_token", 0)
+        return False
+
+    def refuse(self, why):
+        return 409, {"clock_ms": self.clock(), "reason": why}
+
+    def run_start(self, data):
+        if self.fenced(data):
+            return self.refuse("fence")
+        task, run = data["task"], data["run"]
+        if data["until_ms"] <= self.clock():
+            return self.refuse("late")
+        self.lease_end = max(self.lease_end, data["until_ms"])
+        if task in self.runs and self.runs[task]["run"] == run:
+            return 200, {"clock_ms": self.clock()}
+        if run <= self.highest.get(task, 0):
+            return self.refuse("old")
+        self.highest[task] = run
+        self.account.start(task, self.name, data)
+        length = self.rng.uniform(0.1, 0.8)
+        self.runs[task] = {"run": run, "from": time.monotonic(), "until": time.monotonic() + length,
+                           "fails": self.rng.random() < self.fail_share}
+        return 200, {"clock_ms": self.clock()}
+
+    def run_stop(self, data):
+        if self.fenced(data):
+            return self.refuse("fence")
+        task = data["task"]
+        self.highest[task] = max(self.highest.get(task, 0), data["run"])
+        if task in self.runs and self.runs[task]["run"] == data["run"]:
+            self.finish(task, "stopped")
+        return 200, {"clock_ms": self.clock()}
+
+    async def hold(self, data):
+        if self.fenced(data):
+            return self.refuse("fence")
+        if "until_ms" in data:
+            self.lease_end = max(self.lease_end, data["until_ms"])
+        for end in self.ends:
+            if end[0] <= data["last_seen"] and end[3] == "done":
+                self.account.done[end[1]] = True
+        self.ends = [e for e in self.ends if e[0] > data["last_seen"]]
+        if not self.ends and data.get("wait_ms"):
+            self.event.clear()
+            try:
+                await asyncio.wait_for(self.event.wait(), data["wait_ms"] / 1000)
+            except asyncio.TimeoutError:
+                pass
+        now = time.monotonic()
+        rows = [[t, r["run"], "", min(99, int(100 * (now - r["from"]) / max(0.01, r["until"] - r["from"]))), 500]
+                for t, r in self.runs.items()]
+        return 200, {"clock_ms": self.clock(), "born": self.born, "running": rows, "ended": self.ends[:500]}
+
+    async def handle(self, method, path, query, headers, body):
+        if headers.get("crocuslead-expected-instance", self.name) != self.name:
+            return 421, {}
+        call, data = path.rsplit("/", 1)[1].replace("-", "_"), json.loads(body)
+        if call != "hold" and self.rng.random() < self.late_orders:
+            asyncio.get_running_loop().create_task(self.late(call, data, self.born))
+            await asyncio.sleep(5)
+            raise Drop
+        if call == "pace":
+            return (200, {"clock_ms": self.clock()}) if not self.fenced(data) else self.refuse("fence")
+        answer = getattr(self, call)(data)
+        return await answer if asyncio.iscoroutine(answer) else answer
+
+    async def late(self, call, data, born):
+        await asyncio.sleep(self.rng.uniform(*LATE_SECONDS))
+        if born == self.born:
+            getattr(self, call)(data)
+
+
+class Relay:
+    """A loopback proxy whose traffic can be delayed, silenced, cut one way or reset."""
+
+    def __init__(self, port):
+        self.target, self.fault, self.writers = port, None, set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def accept(self, reader, writer):
+        if self.fault == "reset":
+            writer.transport.abort()
+            return
+        try:
+            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        await asyncio.gather(self.pump(reader, up_writer, "there"), self.pump(up_reader, writer, "back"))
+        self.writers -= {writer, up_writer}
+
+    async def pump(self, reader, writer, way):
+        silent = False
+        try:
+            while data := await reader.read(65536):
+                if self.fault == "delay":
+                    await asyncio.sleep(0.15)
+                silent = silent or self.fault in ("silent", way)
+                # A connection that went silent stays so; only new ones work again.
+                if not silent:
+                    writer.write(data)
+                    await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+def make_random(seed):
+    return random.Random(seed)
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -59,8 +59,9 @@
   CoordinatorTimes Times_;
   //! Number of this coordinator's term of office; also its fencing token.
   uint64_t Term_ = 1;
-  //! Most writes of one commit.
-  std::size_t MaxBatch_ = 30;
+  //! Most writes of one commit: a transaction takes 32 entries, of which two
+  //! conditions and one write belong to the host.
+  std::size_t MaxBatch_ = 29;
 };
 
 //! Figures of a coordinator for the state dump.
--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -165,12 +165,15 @@
   Coordinator_->setConfig(Source_.config());
   Coordinator_->setDomainsOut(Source_.domainsOut());
   Coordinator_->setWorkers(Source_.workers());
+  SequenceRevision_ = 0;
   std::map<std::string, JobProgress> Progress;
   std::string Prefix = JobKeys::progress("");
   std::string UsedKey =
       std::string(JobKeys::Work) + Coordinator::UsedWorkersKey;
   for (const store::KeyValue &Each : Work.Values_) {
-    if (Each.Key_ == UsedKey)
+    if (Each.Key_ == JobKeys::sequence())
+      SequenceRevision_ = Each.ModRevision_;
+    else if (Each.Key_ == UsedKey)
       Coordinator_->restoreUsedWorkers(Each.Value_);
     else if (Each.Key_.compare(0, Prefix.size(), Prefix) == 0)
       if (auto Read = decodeOrLog<JobProgress>(Each, decodeJobProgress))
@@ -215,10 +218,27 @@
   Coordinator_->tick();
 }
 
+store::Txn CoordinatorHost::conditionalTxn() const {
+  store::Txn Out;
+  Out.Compares_ = {{Office_->termKey(), store::CompareTarget::ModRevision,
+                    Office_->termRevision()}};
+  return Out;
+}
+
+std::string CoordinatorHost::sequenceValue(uint64_t Number) const {
+  return std::to_string(Office_->term()) + ":" + std::to_string(Number);
+}
+
+// Each commit changes the sequence key and requires the revision that the one
+// before gave it, so that a commit that the store executes late, after others,
+// is refused instead of putting older progress back.
 void CoordinatorHost::commit(const CommitBatch &Batch) {
-  store::Txn Request;
-  Request.Compares_ = {{Office_->termKey(), store::CompareTarget::ModRevision,
-                        Office_->termRevision()}};
+  store::Txn Request = conditionalTxn();
+  Request.Compares_.push_back({JobKeys::sequence(),
+                               store::CompareTarget::ModRevision,
+                               SequenceRevision_});
+  Request.Puts_.push_back(
+      {JobKeys::sequence(), sequenceValue(Batch.Number_), 0});
   for (const auto &[Key, Value] : Batch.Writes_)
     Request.Puts_.push_back({std::string(JobKeys::Work) + Key, Value, 0});
   Store_.txn(
@@ -232,16 +252,60 @@
                        "Duration of progress commits.")
             .record(Clock_.now() - Sent);
         const auto *Reply = std::get_if<store::TxnReply>(&Result);
-        CommitResult Outcome = CommitResult::Unconfirmed;
-        if (Reply != nullptr)
-          Outcome = Reply->Succeeded_ ? CommitResult::Durable
-                                      : CommitResult::Superseded;
-        else
-          base::logEvent(
-              base::LogLevel::Warn, "commit-unconfirmed",
-              {{"commit", Number},
-               {"reason", std::get<store::StoreError>(Result).Message_}});
-        Coordinator_->commitDone(Number, Outcome);
+        if (Reply != nullptr && Reply->Succeeded_) {
+          SequenceRevision_ = Reply->Revision_;
+          Coordinator_->commitDone(Number, CommitResult::Durable);
+          return;
+        }
+        base::logEvent(
+            base::LogLevel::Warn, "commit-unconfirmed",
+            {{"commit", Number},
+             {"reason", Reply != nullptr
+                            ? "a condition does not hold"
+                            : std::get<store::StoreError>(Result).Message_}});
+        readBack(Number);
+      });
+}
+
+// Finds out whether a commit took effect and what the next one must find.
+void CoordinatorHost::readBack(uint64_t Number) {
+  Store_.range(JobKeys::sequence(), "",
+               [this, Weak = std::weak_ptr<int>(Alive_),
+                Number](const store::StoreResult<store::RangeReply> &Result) {
+                 if (Weak.expired())
+                   return;
+                 const auto *Reply = std::get_if<store::RangeReply>(&Result);
+                 if (Reply == nullptr) {
+                   Coordinator_->commitDone(Number, CommitResult::Unconfirmed);
+                   return;
+                 }
+                 std::string Value;
+                 SequenceRevision_ = 0;
+                 if (!Reply->Values_.empty()) {
+                   Value = Reply->Values_.front().Value_;
+                   SequenceRevision_ = Reply->Values_.front().ModRevision_;
+                 }
+                 if (Value == sequenceValue(Number)) {
+                   Coordinator_->commitDone(Number, CommitResult::Durable);
+                   return;
+                 }
+                 checkTerm(Number);
+               });
+}
+
+void CoordinatorHost::checkTerm(uint64_t Number) {
+  Store_.range(
+      Office_->termKey(), "",
+      [this, Weak = std::weak_ptr<int>(Alive_),
+       Number](const store::StoreResult<store::RangeReply> &Result) {
+        if (Weak.expired())
+          return;
+        const auto *Reply = std::get_if<store::RangeReply>(&Result);
+        bool Ended = Reply != nullptr && (Reply->Values_.empty() ||
+                                          Reply->Values_.front().ModRevision_ !=
+                                              Office_->termRevision());
+        Coordinator_->commitDone(Number, Ended ? CommitResult::Superseded
+                                               : CommitResult::Unconfirmed);
       });
 }
 
@@ -249,9 +313,7 @@
   NextCleanup_ = Clock_.now() + CleanupInterval;
   std::vector<std::string> Ids = Coordinator_->takeExpired();
   for (std::size_t From = 0; From < Ids.size(); From += JobsPerCleanup) {
-    store::Txn Request;
-    Request.Compares_ = {{Office_->termKey(), store::CompareTarget::ModRevision,
-                          Office_->termRevision()}};
+    store::Txn Request = conditionalTxn();
     std::size_t To = std::min(Ids.size(), From + JobsPerCleanup);
     for (std::size_t I = From; I < To; ++I)
       Request.Deletes_.insert(Request.Deletes_.end(),
--- a/src/jobs/CoordinatorHost.h
+++ b/src/jobs/CoordinatorHost.h
@@ -39,6 +39,10 @@
   void restoreAll(const store::RangeReply &Work);
   void jobKeyChanged(const store::KeyValue &Value, bool Deleted);
   void commit(const CommitBatch &Batch);
+  void readBack(uint64_t Number);
+  void checkTerm(uint64_t Number);
+  std::string sequenceValue(uint64_t Number) const;
+  store::Txn conditionalTxn() const;
   void removeExpired();
 
   store::KeyValueStore &Store_;
@@ -54,6 +58,8 @@
   std::shared_ptr<int> Alive_;
   bool ReadingProgress_ = false;
   bool Restored_ = false;
+  //! Revision of the sequence key that the next commit must find.
+  int64_t SequenceRevision_ = 0;
   base::TimePoint RetryAt_;
   base::TimePoint NextCleanup_;
   base::TimePoint BegunAt_;
--- a/src/jobs/JobKeys.h
+++ b/src/jobs/JobKeys.h
@@ -9,6 +9,7 @@
 //!   office/holder, office/term       the election
 //!   jobs/ID/spec, jobs/ID/cancel     written by the instance that answers
 //!   work/progress/ID, work/workers   written by the coordinator alone
+//!   work/sequence                    changed by each of its commits
 struct JobKeys {
   static constexpr std::string_view Office = "crocuslead/office/";
   static constexpr std::string_view Jobs = "crocuslead/jobs/";
@@ -21,6 +22,7 @@
   static std::string cancel(const std::string &Id) {
     return folder(Id) + "cancel";
   }
+  static std::string sequence() { return std::string(Work) + "sequence"; }
   static std::string progress(const std::string &Id) {
     return std::string(Work) + "progress/" + Id;
   }
--- a/tests/app/FakeStore.h
+++ b/tests/app/FakeStore.h
@@ -24,6 +24,9 @@
   //! Next transactions that never reach the store, which the caller cannot
   //! know.
   int LoseRequests_ = 0;
+  //! Next transactions whose requests are held back: the caller is told that
+  //! the answer is lost, and applyLate() executes them later.
+  int DelayRequests_ = 0;
   //! Watch events are lost, without an end of the stream.
   bool LoseEvents_ = false;
   //! Reads of these prefixes fail.
@@ -45,6 +48,17 @@
     Answers_.pop_front();
     return Next;
   }
+  //! Executes what was held back, if its conditions still hold.
+  void applyLate() {
+    for (const store::Txn &Each : Late_) {
+      bool Holds = true;
+      for (const store::Compare &One : Each.Compares_)
+        Holds = Holds && valueOf(One) == One.Value_;
+      if (Holds)
+        apply(Each);
+    }
+    Late_.clear();
+  }
   std::size_t waiting() const { return Answers_.size(); }
 
   void put(const std::string &Key, const std::string &Value) {
@@ -87,6 +101,12 @@
       answer(Done, store::StoreError{false, "down"});
       return;
     }
+    if (DelayRequests_ > 0) {
+      --DelayRequests_;
+      Late_.push_back(std::move(Request));
+      answer(Done, store::StoreError{true, "lost"});
+      return;
+    }
     if (LoseRequests_ > 0) {
       --LoseRequests_;
       answer(Done, store::StoreError{true, "lost"});
@@ -134,6 +154,8 @@
   }
 
 private:
+  std::vector<store::Txn> Late_;
+
   struct Watcher {
     std::string Key_;
     std::string End_;
