Keep unseen starts in doubt when a worker is reborn under its id

Cause: a start that was on its way reached the next life of the worker, which bears the same id and accepts it; the coordinator took the run for over and started the task elsewhere.

Ruled out: the header that names the intended worker; it names the id only.

--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -24,6 +24,8 @@
   //! Lease that each look or start gives to everything on a worker. Longer
   //! than a takeover, so that a successor finds the work alive.
   base::Duration Lease_ = std::chrono::milliseconds(4500);
+  //! Longest lease that a worker accepts.
+  base::Duration MaxLease_ = std::chrono::seconds(10);
   //! Longest wait of one look at a worker, so that progress is at most this
   //! old.
   base::Duration LookWait_ = std::chrono::milliseconds(1000);
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -99,6 +99,7 @@
   void adopt(Worker &At, const RunningRow &Row);
   void lookFailed(Worker &At, OrderStatus Status);
   void endLife(Worker &Of, const char *Reason);
+  void rebirth(Worker &Of, const WorkerInfo &Next);
   void removeIfOver(const std::string &Id);
   int64_t grantLease(Worker &To);
   void noteClock(Worker &Of, int64_t WorkerMs);
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -54,6 +54,8 @@
   base::TimePoint NextStopAt_;
   bool StopInFlight_ = false;
   bool PaceInFlight_ = false;
+  //! A look showed it at its worker's present life.
+  bool Listed_ = false;
   //! Started in an earlier term, at a time that is not known.
   bool Adopted_ = false;
   //! Started from a checkpoint.
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -53,7 +53,7 @@
     auto It = Workers_.find(Id);
     if (It != Workers_.end() && It->second->Info_.Born_ != Info.Born_ &&
         Info.Born_ != 0 && It->second->Info_.Born_ != 0) {
-      endLife(*It->second, "reborn");
+      rebirth(*It->second, Info);
       It = Workers_.find(Id);
     }
     if (It == Workers_.end()) {
@@ -260,7 +260,9 @@
   }
   if (At.Info_.Born_ != 0 && Reply.Lists_.Born_ != 0 &&
       At.Info_.Born_ != Reply.Lists_.Born_) {
-    endLife(At, "reborn");
+    WorkerInfo Next = At.Info_;
+    Next.Born_ = Reply.Lists_.Born_;
+    rebirth(At, Next);
     return;
   }
   takeLists(At, Reply.Lists_, At.LookSentAt_);
@@ -297,6 +299,7 @@
       adopt(At, Row);
       continue;
     }
+    Which->Listed_ = true;
     if (Which->Percent_ != Row.Percent_ ||
         Which->Checkpoint_ != Row.Checkpoint_)
       Which->ProgressAt_ = now();
@@ -367,7 +370,7 @@
   StepWork &Step = *findStep(*Owner, Row.Task_.At_);
   Run &Made = makeRun(Step, *Of, At, Row.Run_);
   Made.Phase_ = RunPhase::Running;
-  Made.Adopted_ = true;
+  Made.Adopted_ = Made.Listed_ = true;
   Made.Percent_ = Row.Percent_;
   Made.Load_ = Row.Load_;
   Made.Checkpoint_ = Row.Checkpoint_;
@@ -405,6 +408,37 @@
   }
 }
 
+// What the earlier life was seen to run is over. A start that was not seen
+// there may have reached the next life, which bears the same id: it stays in
+// doubt until that life's lists tell.
+void Coordinator::Impl::rebirth(Worker &Of, const WorkerInfo &Next) {
+  struct Unseen {
+    StepWork *Step_;
+    Task *Task_;
+    uint64_t Number_;
+  };
+  std::vector<Unseen> Doubtful;
+  for (Run *Which : std::vector<Run *>(Of.Runs_)) {
+    if (Which->Listed_)
+      continue;
+    Doubtful.push_back({Which->Step_, &Which->Step_->Tasks_[Which->At_.Index_],
+                        Which->Number_});
+    dropRun(*Which);
+  }
+  bool Listed = Of.Listed_;
+  Of.Listed_ = false;
+  endLife(Of, "reborn");
+  Worker &Born = makeWorker(Next);
+  Born.Listed_ = Listed;
+  Born.LeaseBound_ =
+      now() + std::chrono::duration_cast<base::Duration>(
+                  Settings_.Times_.MaxLease_ / SlowestWorkerClock);
+  for (const Unseen &Each : Doubtful) {
+    Run &Made = makeRun(*Each.Step_, *Each.Task_, Born, Each.Number_);
+    Made.Phase_ = RunPhase::Doubtful;
+  }
+}
+
 void Coordinator::Impl::prepareHandover() {
   for (auto &[Id, Each] : Workers_) {
     if (Each->Runs_.empty() || !Each->Clock_ || !reachable(*Each))
--- a/tests/jobs/Coordinator.tests.cpp
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -141,6 +141,23 @@
   requireNoBreach(World);
 }
 
+// Guards against a start that was sent to the life before and is taken by the
+// next one; found by the soak, seed 2.
+TEST_CASE(
+    "A start that reaches the next life of a worker makes no second run") {
+  JobWorld World;
+  startWith(World, 2);
+  World.OrdersReachNextLife_ = true;
+  World.RunLength_ = seconds(2);
+  World.submit("a", chain(1, 1));
+  World.run(milliseconds(10));
+  // The start is on its way to the first worker; the other one has room.
+  World.rebirth("w0");
+  World.run(seconds(6));
+  CHECK(World.state("a") == JobState::Completed);
+  requireNoBreach(World);
+}
+
 // Guards against the copy that was started because a run was being stopped.
 TEST_CASE("A done task gets no further copy while its copies are stopped") {
   JobWorld World;
@@ -207,6 +224,7 @@
     CAPTURE(Seed);
     JobWorld World(Seed);
     startWith(World, 5);
+    World.OrdersReachNextLife_ = Seed % 2 == 0;
     World.LateStarts_ = 0.05;
     World.LostAnswers_ = 0.05;
     int Submitted = 0;
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -291,7 +291,7 @@
   after(Hop, [=] {
     FakeWorker &At = Workers_.at(Id);
     OrderReply Reply;
-    bool Reached = !At.Deaf_ && At.Born_ == Born;
+    bool Reached = !At.Deaf_ && (OrdersReachNextLife_ || At.Born_ == Born);
     if (Reached) {
       Reply.Status_ = Action(At);
       Reply.ClockMs_ = clockMs(At);
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -109,6 +109,9 @@
   double LateStarts_ = 0;
   //! Share of orders whose answer is lost.
   double LostAnswers_ = 0;
+  //! Orders that are on their way when a worker is reborn reach its next life,
+  //! as they do on a new connection.
+  bool OrdersReachNextLife_ = false;
   base::Duration RunLength_ = std::chrono::milliseconds(600);
 
 private:
