Start nothing on a reborn worker before its new room is known

Cause: a look met the next life of a worker before the registry told of it; the coordinator went on with the room of the life before, and the lagging entry then brought the earlier life back.

Change: a life counts as confirmed when its own entry is read; entries of earlier lives are ignored; a worker whose last look failed gets no start.

--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -60,9 +60,10 @@
                                  Worker &On) const {
   const StepSpec &Spec = *Step.Spec_;
   const QueueConfig *Queue = queueOf(*Step.Job_);
-  if (Queue == nullptr || On.Info_.Service_ != Queue->Service_ ||
-      !reachable(On) || !On.Recorded_ || !On.Listed_ || On.Info_.Draining_ ||
-      !On.Clock_ || DomainsOut_.count(On.Info_.Domain_) > 0)
+  if (Queue == nullptr || On.Info_.Service_ != Queue->Service_ || !On.Known_ ||
+      On.LookFailures_ > 0 || !On.Confirmed_ || !On.Recorded_ || !On.Listed_ ||
+      On.Info_.Draining_ || !On.Clock_ ||
+      DomainsOut_.count(On.Info_.Domain_) > 0)
     return false;
   if (!Spec.RequiredLabel_.empty() &&
       std::find(On.Info_.Labels_.begin(), On.Info_.Labels_.end(),
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -136,6 +136,8 @@
   WorkerInfo Info_;
   //! False once the registry has no entry for this life.
   bool Listed_ = true;
+  //! The registry's entry is of this life, so its room and labels hold.
+  bool Confirmed_ = false;
   //! Its lists were read in this term, so that it knows the token.
   bool Known_ = false;
   //! The record of used workers that names it is durable.
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -51,16 +51,20 @@
     const std::map<std::string, WorkerInfo> &Workers) {
   for (const auto &[Id, Info] : Workers) {
     auto It = Workers_.find(Id);
+    // The registry lags: a look may have met a later life already.
+    if (It != Workers_.end() && Info.Born_ < It->second->Info_.Born_)
+      continue;
     if (It != Workers_.end() && It->second->Info_.Born_ != Info.Born_ &&
-        Info.Born_ != 0 && It->second->Info_.Born_ != 0) {
+        It->second->Info_.Born_ != 0) {
       rebirth(*It->second, Info);
       It = Workers_.find(Id);
     }
     if (It == Workers_.end()) {
-      makeWorker(Info);
+      makeWorker(Info).Confirmed_ = true;
       continue;
     }
     Worker &Known = *It->second;
+    Known.Confirmed_ = true;
     bool Drains = Info.Draining_ && !Known.Info_.Draining_;
     if (Info.Address_ != Known.Info_.Address_)
       UsedWorkersDirty_ = true;
--- a/tests/jobs/Coordinator.tests.cpp
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -141,6 +141,29 @@
   requireNoBreach(World);
 }
 
+// Guards against starts by the room of the life before: the next one may be of
+// another kind, and a look meets it before the registry tells its room.
+TEST_CASE("A reborn worker gets no start before its new room is known") {
+  JobWorld World;
+  startWith(World, 1);
+  World.RunLength_ = seconds(20);
+  World.submit("a", chain(1, 1));
+  World.run(milliseconds(300));
+  World.worker("w0").Info_.Room_ = {1'500, 64'000, 0};
+  World.rebirthUnannounced("w0");
+  World.run(milliseconds(1500));
+  World.submit("b", chain(1, 1));
+  World.run(milliseconds(500));
+  CHECK(World.worker("w0").Runs_.empty());
+  // An entry of the life before does not bring that life back.
+  World.publishStale("w0");
+  World.run(milliseconds(300));
+  World.publishWorkers();
+  World.run(seconds(1));
+  CHECK(World.worker("w0").Runs_.size() == 1);
+  requireNoBreach(World);
+}
+
 // Guards against a start that was sent to the life before and is taken by the
 // next one; found by the soak, seed 2.
 TEST_CASE(
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -102,6 +102,20 @@
 }
 
 void JobWorld::rebirth(const std::string &Id) {
+  rebirthUnannounced(Id);
+  publishWorkers();
+}
+
+void JobWorld::publishStale(const std::string &Id) {
+  std::map<std::string, WorkerInfo> All;
+  for (const auto &[Other, Each] : Workers_)
+    All[Other] = Each.Info_;
+  All[Id].Born_ -= 1'000;
+  All[Id].Room_ = {64'000, 64'000, 0};
+  Coordinator_->setWorkers(All);
+}
+
+void JobWorld::rebirthUnannounced(const std::string &Id) {
   crashWorker(Id);
   FakeWorker &Of = worker(Id);
   Of.Deaf_ = Of.Mute_ = false;
@@ -111,7 +125,6 @@
   Of.LeaseEnd_ = {};
   Of.Born_ = now();
   Of.Info_.Born_ = Clock_.wallNow().time_since_epoch().count();
-  publishWorkers();
 }
 
 void JobWorld::submit(const std::string &Id, JobSpec Spec) {
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -69,6 +69,10 @@
   void removeFromRegistry(const std::string &Id);
   //! The worker starts anew under its id.
   void rebirth(const std::string &Id);
+  //! The same, while the registry still shows the earlier life.
+  void rebirthUnannounced(const std::string &Id);
+  //! Publishes the entry of an earlier life.
+  void publishStale(const std::string &Id);
   void submit(const std::string &Id, JobSpec Spec);
   void cancel(const std::string &Id);
   //! The coordinator vanishes without a word.
