--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -33,7 +33,7 @@
 
 # 54 tasks of 4 cores take three quarters of 9 workers with 32 cores each, so the urgent checks of 16
 # cores need evictions. Runs have one task, because a job whose tasks run in one partition is not
-# divided over others (docs/operations.md, known limits).
+# divided over others (docs/OPERATIONS.md, known limits).
 RUNS, RUN_TASKS = 54, 1
 
 
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "app/CommandLine.h"
 
+#include "app/LogStory.h"
 #include "app/OperatorClient.h"
 #include "app/Serve.h"
 #include "app/internal/CommandOutput.h"
@@ -44,7 +45,7 @@
   crocuslead job list [options]
   crocuslead job show ID [options]
   crocuslead job cancel ID [options]
-  crocuslead explain ID [options]
+  crocuslead explain ID [--log FILE] [options]
   crocuslead settle [--period MONTH] [options]
   crocuslead dump [--instance ID] [options]
   crocuslead --help
@@ -64,6 +65,8 @@
   --confirmed-dead   Operators confirm that nothing in the domain runs any more:
                      its tasks are restarted elsewhere without waiting for their
                      leases to end.
+  --log FILE         Logs of one or more instances, - for standard input:
+                     explain reads them instead of asking an instance.
   --period MONTH     Settlement period as YYYY-MM; default is all periods.
   --instance ID      Instance whose state is dumped; default is the one asked.
   --json             Print JSON instead of a table.
@@ -203,7 +206,26 @@
   return printAnswer(Run.Client_.call("POST", "/v1/jobs", *Job));
 }
 
+//! Tells the story of an id from the logs of the instances.
+int explainFromLog(const std::string &Id, const std::string &Path) {
+  std::ifstream File;
+  if (Path != "-") {
+    File.open(Path);
+    if (!File)
+      return usageError("cannot read '" + Path + "'");
+  }
+  std::string Story = logStory(Path == "-" ? std::cin : File, Id);
+  if (Story.empty()) {
+    std::cerr << "crocuslead: no log line names '" << Id << "'\n";
+    return static_cast<int>(ExitCode::Refused);
+  }
+  std::cout << Story;
+  return static_cast<int>(ExitCode::Success);
+}
+
 int runExplain(const Command &Run) {
+  if (std::string Path = Run.text("--log"); !Path.empty())
+    return explainFromLog(Run.text("ID"), Path);
   std::string Id = Run.text("ID");
   std::size_t Slash = Id.find('/');
   // The task separator would end the path segment.
