Give a refusing store up after 1.2 s and test the job service

Change: after 1.2 s of refusals the caller is told when to come back; a write that may still be executed is followed to the deadline and never refused.

--- a/src/jobs/JobService.cpp
+++ b/src/jobs/JobService.cpp
@@ -14,6 +14,9 @@
 using nlohmann::json;
 
 constexpr auto WriteRetry = std::chrono::milliseconds(60);
+// A store that refuses for this long is given up for this call: the caller is
+// told at once when to come back, and may meet another instance.
+constexpr auto RefusedWriteTime = std::chrono::milliseconds(1200);
 // Longest wait for the coordinator; the store is asked after it.
 constexpr auto AskTimeout = std::chrono::milliseconds(600);
 constexpr int StatusOk = 200;
@@ -99,7 +102,10 @@
     Outcome = Change::Done;
   else
     Job->MayApply_ = Job->MayApply_ || Failure->MayHaveApplied_;
-  if (!Outcome && now() + WriteRetry >= Job->Deadline_)
+  base::TimePoint GiveUp = Job->Deadline_;
+  if (!Job->MayApply_)
+    GiveUp = std::min(GiveUp, Job->Begun_ + RefusedWriteTime);
+  if (!Outcome && now() + WriteRetry >= GiveUp)
     Outcome = Job->MayApply_ ? Change::Unknown : Change::NotDone;
   if (!Outcome) {
     Retries_.emplace_back(now() + WriteRetry, Job);
--- /dev/null
+++ b/tests/jobs/JobService.tests.cpp
@@ -0,0 +1,132 @@
+#include "jobs/JobService.h"
+
+#include "app/FakeStore.h"
+#include "jobs/JobKeys.h"
+#include "jobs/JobWorld.h"
+
+#include <asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using Change = JobService::Change;
+using Lookup = JobService::Lookup;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class NoFleet final : public FleetSource {
+public:
+  void setHooks(Hooks /*OnChange*/) override {}
+  void tick() override {}
+  void reload() override {}
+  bool configLoaded() const override { return false; }
+  const FleetConfig &config() const override { return Config_; }
+  const std::set<std::string> &domainsOut() const override { return Out_; }
+  void followWorkers(bool /*Wanted*/) override {}
+  bool workersLoaded() const override { return false; }
+  const std::map<std::string, WorkerInfo> &workers() const override {
+    return Workers_;
+  }
+
+private:
+  FleetConfig Config_;
+  std::set<std::string> Out_;
+  std::map<std::string, WorkerInfo> Workers_;
+};
+
+//! An instance that does not hold the office.
+struct Entry {
+  asio::io_context Loop_;
+  std::unique_ptr<http::Client> Client_ = http::makeClient(Loop_, 0);
+  JobWorld World_;
+  tests::FakeStore Store_;
+  NoFleet Fleet_;
+  CoordinatorHost Host_{Store_,        World_,          Fleet_,
+                        World_.Clock_, World_.Metrics_, CoordinatorTimes()};
+  Election Office_{Store_,
+                   World_.Clock_,
+                   World_.Random_,
+                   {"a", "a-1", "a:1", std::string(JobKeys::Office)},
+                   {[](uint64_t) {}, [](const char *) {}}};
+  JobService Service_{Store_,          *Client_, World_.Clock_,
+                      World_.Metrics_, Office_,  Host_};
+
+  void run(base::Duration Time) {
+    for (base::TimePoint End = World_.now() + Time; World_.now() < End;) {
+      Store_.run();
+      Service_.tick();
+      World_.Clock_.advance(milliseconds(10));
+    }
+  }
+  std::optional<Change> submit(const std::string &Id, base::Duration Time) {
+    std::optional<Change> Out;
+    Service_.submit(Id, "visits", chain(1, 1), World_.now() + seconds(3),
+                    [&Out](Change Got) { Out = Got; });
+    run(Time);
+    return Out;
+  }
+  std::pair<Lookup, JobState> state(const std::string &Id) {
+    std::pair<Lookup, JobState> Out{Lookup::Unavailable, JobState::Queued};
+    Service_.state(Id, World_.now() + seconds(3),
+                   [&Out](Lookup Result, JobState State) {
+                     Out = {Result, State};
+                   });
+    run(milliseconds(100));
+    return Out;
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Entry, "A job is accepted once, however often it is sent") {
+  CHECK(submit("j", milliseconds(50)) == Change::Done);
+  int64_t Revision = Store_.find(JobKeys::spec("j"))->ModRevision_;
+  CHECK(submit("j", milliseconds(50)) == Change::Done);
+  CHECK(Store_.find(JobKeys::spec("j"))->ModRevision_ == Revision);
+}
+
+TEST_CASE_FIXTURE(Entry, "A job whose acceptance was not answered is found") {
+  Store_.LoseAnswers_ = 1;
+  CHECK(submit("j", milliseconds(200)) == Change::Done);
+}
+
+// Guards against "not accepted" for a job that runs later.
+TEST_CASE_FIXTURE(Entry, "A write that may be executed late is never refused") {
+  Store_.DelayRequests_ = 1000;
+  CHECK_FALSE(submit("j", seconds(2)));
+  CHECK(submit("k", milliseconds(3100)) == Change::Unknown);
+}
+
+// Guards against a refusal that is held back until the caller's deadline.
+TEST_CASE_FIXTURE(Entry, "A store that refuses is given up early") {
+  Store_.Down_ = true;
+  CHECK(submit("j", milliseconds(1300)) == Change::NotDone);
+  Store_.Down_ = false;
+  run(seconds(2));
+  CHECK(Store_.find(JobKeys::spec("j")) == nullptr);
+}
+
+TEST_CASE_FIXTURE(Entry, "States are read from the store without coordinator") {
+  CHECK(state("j").first == Lookup::NoSuchJob);
+  submit("j", milliseconds(50));
+  CHECK(state("j") == std::pair(Lookup::Found, JobState::Queued));
+  JobProgress Progress;
+  Progress.State_ = JobState::Running;
+  Store_.put(JobKeys::progress("j"), encode(Progress));
+  CHECK(state("j") == std::pair(Lookup::Found, JobState::Running));
+  std::optional<Change> Cancelled;
+  Service_.cancel("j", World_.now() + seconds(3),
+                  [&](Change Got) { Cancelled = Got; });
+  run(milliseconds(50));
+  CHECK(Cancelled == Change::Done);
+  CHECK(state("j") == std::pair(Lookup::Found, JobState::Cancelled));
+  Progress.State_ = JobState::Completed;
+  Store_.put(JobKeys::progress("j"), encode(Progress));
+  CHECK(state("j") == std::pair(Lookup::Found, JobState::Completed));
+  Store_.Down_ = true;
+  CHECK(state("j").first == Lookup::Unavailable);
+}
+
+} // namespace crocuslead::jobs::test
