Spend less of the coordinator's core on backlogs, looks and connections

Change: a pass over a backlog every 20 ms, sizes that found no room are not tried again in it; libcurl keeps 2,500 connections, those in use included; looks twice a second only where tails are pressed.

Ruled out: libcurl's default limit of kept connections (it was set, to 1,024).

--- a/src/http/MultiCore.cpp
+++ b/src/http/MultiCore.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-// libcurl's default shrinks with the number of exchanges in progress; an
-// instance keeps one connection to each of its workers, peers' loads included.
-constexpr long MaxIdleConnections = 1024;
-constexpr std::size_t MaxIdleEasyHandles = 64;
+// libcurl counts connections in use as well, and its default shrinks with the
+// number of exchanges in progress. A coordinator has a waiting look at each
+// worker and a few orders beside it; the smallest instances have 3,900 sockets.
+constexpr long MaxKeptConnections = 2500;
+constexpr std::size_t MaxIdleEasyHandles = 256;
 
 void initCurl() {
   static const CURLcode Code = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -35,7 +36,7 @@
   curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, &MultiCore::onTimer);
   curl_multi_setopt(Multi_, CURLMOPT_TIMERDATA, this);
   curl_multi_setopt(Multi_, CURLMOPT_MAX_HOST_CONNECTIONS, MaxPerHost);
-  curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+  curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxKeptConnections);
   curl_multi_setopt(Multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
 }
 
--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -10,6 +10,7 @@
 
 // Stalls, copies, due occurrences and leases are checked this often.
 constexpr auto CheckInterval = std::chrono::milliseconds(50);
+constexpr auto BacklogPassInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -25,6 +26,7 @@
   if (now() >= NextCheck_) {
     NextCheck_ = now() + CheckInterval;
     driveRuns();
+    removeEnded();
     checkRecovery();
     placeCopies();
     for (auto &[Id, Owner] : Jobs_)
@@ -32,8 +34,12 @@
         openOccurrences(*Owner);
     PassWanted_ = PassWanted_ || !Ready_.empty();
   }
-  if (PassWanted_)
+  if (PassWanted_ && now() >= NextPass_) {
     place();
+    // A pass over a backlog visits many workers for each step.
+    if (!Ready_.empty())
+      NextPass_ = now() + BacklogPassInterval;
+  }
   driveWorkers();
   driveCommits();
 }
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -29,8 +29,8 @@
   //! Longest wait of one look at a worker, so that progress is at most this
   //! old.
   base::Duration LookWait_ = std::chrono::milliseconds(1000);
-  //! The same where best-effort tasks run beside serving ones: figures cover
-  //! the last half second.
+  //! The same where best-effort tasks press on serving ones: figures cover the
+  //! last half second.
   base::Duration TailLookWait_ = std::chrono::milliseconds(500);
   //! Time in which a worker stops a task.
   base::Duration StopTimeout_ = std::chrono::milliseconds(900);
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -100,6 +100,7 @@
   void lookFailed(Worker &At, OrderStatus Status);
   void endLife(Worker &Of, const char *Reason);
   void rebirth(Worker &Of, const WorkerInfo &Next);
+  void removeEnded();
   void removeIfOver(const std::string &Id);
   int64_t grantLease(Worker &To);
   void noteClock(Worker &Of, int64_t WorkerMs);
@@ -114,6 +115,8 @@
   // Placement.cpp
   void place();
   void placeReady(bool Late);
+  //! Sizes that found no worker in this pass.
+  struct NoRoom;
   bool placeStep(StepWork &Step);
   bool placeGang(StepWork &Step);
   bool isReady(const StepWork &Step, const Task &Of) const;
@@ -177,6 +180,7 @@
   bool Recovering_ = false;
   base::TimePoint RecoveryEnd_;
   base::TimePoint NextCheck_;
+  base::TimePoint NextPass_;
 
   std::deque<std::string> Dirty_;
   base::TimePoint DirtySince_;
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -91,6 +91,7 @@
   for (Run *Each : At.Runs_)
     if (isBestEffort(*Each))
       Shares.emplace_back(Each, 1.0);
+  At.TailsPressed_ = false;
   if (Shares.empty())
     return;
   for (const Run *Served : At.Runs_) {
@@ -112,8 +113,10 @@
       return PressureOf(*A.first) > PressureOf(*B.first);
     });
     double Excess = KeptHeadroom - *Served->OwnHeadroom_;
-    for (const auto &[Each, Share] : Shares)
+    for (const auto &[Each, Share] : Shares) {
       Excess += PressureOf(*Each) * fullUse(*Each->Step_, At) * Share;
+      At.TailsPressed_ = At.TailsPressed_ || PressureOf(*Each) > 0;
+    }
     for (auto &[Each, Share] : Shares) {
       double Full = PressureOf(*Each) * fullUse(*Each->Step_, At);
       if (Excess <= 0 || Full <= 0)
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -194,6 +194,32 @@
   return true;
 }
 
+// What found no worker in a pass: best-effort images, for which the size hardly
+// matters, and the smallest sizes of steps without a wish for a label.
+struct Coordinator::Impl::NoRoom {
+  std::set<internal::ImageNumber> Images_;
+  std::map<std::string, std::vector<base::Resources>> Sizes_;
+
+  bool covers(const StepWork &Step) const {
+    if (Step.Spec_->BestEffort_)
+      return Images_.count(Step.Image_) > 0;
+    auto It = Sizes_.find(Step.Job_->Record_.Queue_);
+    return It != Sizes_.end() &&
+           std::any_of(It->second.begin(), It->second.end(),
+                       [&](const base::Resources &Size) {
+                         return Size.fitsIn(Step.Spec_->Request_);
+                       });
+  }
+  void add(const StepWork &Step) {
+    const StepSpec &Spec = *Step.Spec_;
+    if (Spec.BestEffort_)
+      Images_.insert(Step.Image_);
+    else if (Spec.RequiredLabel_.empty() && Spec.MaxPerWorker_ == 0 &&
+             !Spec.Gang_)
+      Sizes_[Step.Job_->Record_.Queue_].push_back(Spec.Request_);
+  }
+};
+
 void Coordinator::Impl::place() {
   PassWanted_ = false;
   if (Superseded_)
@@ -205,11 +231,10 @@
 
 void Coordinator::Impl::placeReady(bool Late) {
   int Starts = 0;
-  // Best-effort images that found no worker: the size hardly matters to them.
-  std::set<internal::ImageNumber> NoRoom;
+  NoRoom Failed;
   for (auto It = Ready_.begin(); It != Ready_.end();) {
     StepWork &Step = *It->second;
-    if (Step.Spec_->BestEffort_ && NoRoom.count(Step.Image_) > 0) {
+    if (Failed.covers(Step)) {
       ++It;
       continue;
     }
@@ -223,8 +248,8 @@
         std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(), [](const Task &Of) {
           return !Of.Done_ && Of.Runs_.empty();
         });
-    if (Waits && Step.Spec_->BestEffort_)
-      NoRoom.insert(Step.Image_);
+    if (Waits && !(Recovering_ && Step.Job_->Restored_))
+      Failed.add(Step);
     It = Waits ? std::next(It) : Ready_.erase(It);
     if (Starts >= MaxStartsPerPass) {
       PassWanted_ = true;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -172,6 +172,8 @@
   //! made anew after HeadroomStale_.
   std::vector<std::pair<ImageNumber, double>> HeadroomLeft_;
   bool HeadroomStale_ = true;
+  //! Best-effort tasks there press on serving ones.
+  bool TailsPressed_ = false;
   //! A tail there was over its target at the last look.
   bool TailOver_ = false;
   base::TimePoint DrainSince_;
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -187,15 +187,18 @@
 }
 
 void Coordinator::Impl::driveWorkers() {
-  std::vector<std::string> Ids;
   for (Worker *Each : WorkerOrder_)
-    Ids.push_back(Each->Info_.Id_);
-  for (const std::string &Id : Ids) {
-    Worker &Each = *Workers_.at(Id);
-    if (!Each.LookInFlight_ && now() >= Each.NextLookAt_ && wantsLook(Each))
-      look(Each);
+    if (!Each->LookInFlight_ && now() >= Each->NextLookAt_ && wantsLook(*Each))
+      look(*Each);
+}
+
+void Coordinator::Impl::removeEnded() {
+  std::vector<std::string> Ids;
+  for (const Worker *Each : WorkerOrder_)
+    if (Each->LookFailures_ > 0 || !Each->Known_)
+      Ids.push_back(Each->Info_.Id_);
+  for (const std::string &Id : Ids)
     removeIfOver(Id);
-  }
 }
 
 void Coordinator::Impl::removeIfOver(const std::string &Id) {
@@ -227,7 +230,7 @@
                (Each->Phase_ == RunPhase::Stopping && Each->StopAnsweredAt_);
       });
   if (Settled && !Doubts)
-    Order.Wait_ = At.Serving_ > 0 && At.BestEffortCpu_ > 0
+    Order.Wait_ = At.TailsPressed_ || At.TailOver_
                       ? Settings_.Times_.TailLookWait_
                       : Settings_.Times_.LookWait_;
   At.LookInFlight_ = true;
