Count the tasks of ended jobs until they are gone

Cause: a successor restored an ended job without its tasks, so runs that were still being stopped were unknown to it: it stopped them again and gave their room away before they ended.

--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -71,9 +71,10 @@
   updateTarget(Owner);
   if (Progress)
     restoreProgress(Owner, *Progress);
+  // Those of an ended job take up the runs that are still being stopped.
+  openOccurrences(Owner);
   if (isFinal(Owner.State_))
     return;
-  openOccurrences(Owner);
   if (Progress) {
     for (const TaskPosition &At : Progress->Done_)
       if (StepWork *Step = findStep(Owner, At))
--- a/tests/jobs/Coordinator.tests.cpp
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -232,6 +232,24 @@
   CHECK(World.startsOf("a.0.1.0") == 0);
 }
 
+// Guards against room that a cancelled job's tasks still hold while they stop;
+// found by a hunt on opgn-sched (LIMIT, hunt-2540-19).
+TEST_CASE("A successor counts the tasks of ended jobs until they are gone") {
+  JobWorld World;
+  startWith(World, 1);
+  World.RunLength_ = seconds(20);
+  World.StopTime_ = milliseconds(900);
+  World.submit("a", chain(1, 2, 8'000));
+  World.run(milliseconds(300));
+  World.cancel("a");
+  World.run(milliseconds(100));
+  World.takeOver();
+  World.submit("b", chain(1, 1, 4'000));
+  World.run(seconds(4));
+  CHECK(World.startsOf("b.0.0.0") == 1);
+  requireNoBreach(World);
+}
+
 TEST_CASE("A fenced coordinator sends no further order") {
   JobWorld World;
   startWith(World, 1);
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -226,6 +226,8 @@
     for (auto &[Name, Each] : At.Runs_) {
       if (now() >= At.LeaseEnd_)
         Ends.emplace_back(Name, RunEnd::LeaseExpired);
+      else if (Each.StopAt_ && now() >= *Each.StopAt_)
+        Ends.emplace_back(Name, RunEnd::Stopped);
       else if (Each.Length_.count() > 0 && !Each.Stands_ &&
                now() >= Each.Started_ + Each.Length_ - Each.Before_)
         Ends.emplace_back(Name, Each.Fails_ ? RunEnd::Failed : RunEnd::Done);
@@ -288,8 +290,8 @@
   if (Reserved > At.Info_.Room_.MilliCpu_)
     breach(At.Info_.Id_ + " is committed beyond its processors");
   FakeRun &Made = At.Runs_[Name];
-  Made = {Order.Task_, Order.Run_,   now(),           RunLength_,
-          {},          At.FailsAll_, At.StandsStill_, 100};
+  Made = {Order.Task_,  Order.Run_,      now(),        RunLength_, {},
+          At.FailsAll_, At.StandsStill_, std::nullopt, 100};
   if (Spec.LongRunning_)
     Made.Length_ = {};
   Oracle_.RunsOn_[Name].insert(At.Info_.Id_);
@@ -346,8 +348,9 @@
     uint64_t &Highest = At.HighestRun_[Name];
     Highest = std::max(Highest, Order.Run_);
     auto It = At.Runs_.find(Name);
-    if (It != At.Runs_.end() && It->second.Number_ == Order.Run_)
-      endRun(At, Name, RunEnd::Stopped);
+    if (It != At.Runs_.end() && It->second.Number_ == Order.Run_ &&
+        !It->second.StopAt_)
+      It->second.StopAt_ = now() + StopTime_;
     return OrderStatus::Accepted;
   });
 }
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   base::Duration Before_{};
   bool Fails_ = false;
   bool Stands_ = false;
+  //! Set once a stop was ordered.
+  std::optional<base::TimePoint> StopAt_;
   int Pace_ = 100;
 };
 
@@ -116,6 +119,8 @@
   //! Orders that are on their way when a worker is reborn reach its next life,
   //! as they do on a new connection.
   bool OrdersReachNextLife_ = false;
+  //! Time that a worker takes to stop a task.
+  base::Duration StopTime_{};
   base::Duration RunLength_ = std::chrono::milliseconds(600);
 
 private:
