--- a/src/jobs/JobKeys.h
+++ b/src/jobs/JobKeys.h
@@ -8,12 +8,12 @@
 //! Layout of the store's keys for jobs.
 //!   office/holder, office/term       the election
 //!   jobs/ID/spec, jobs/ID/cancel     written by the instance that answers
-//!   work/progress/ID, work/workers   written by the coordinator alone
-//!   work/sequence                    changed by each of its commits
+//!   state/progress/ID, state/workers written by the coordinator alone
+//!   state/sequence                   changed by each of its commits
 struct JobKeys {
   static constexpr std::string_view Office = "crocuslead/office/";
   static constexpr std::string_view Jobs = "crocuslead/jobs/";
-  static constexpr std::string_view Work = "crocuslead/work/";
+  static constexpr std::string_view Work = "crocuslead/state/";
 
   static std::string folder(const std::string &Id) {
     return std::string(Jobs) + Id + "/";
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -133,6 +133,9 @@
 };
 
 struct Worker {
+  //! Looks without an answer after which a worker counts as out of reach.
+  static constexpr int UnreachableAfter = 2;
+
   WorkerInfo Info_;
   //! False once the registry has no entry for this life.
   bool Listed_ = true;
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -13,20 +13,13 @@
 constexpr double SlowestWorkerClock = 0.98;
 // A predecessor that has not noticed its end may grant leases for this long.
 constexpr auto PredecessorSlack = std::chrono::milliseconds(1500);
-// Looks without an answer after which a worker gets no start.
-constexpr int UnreachableAfter = 2;
-constexpr auto LookRetry = std::chrono::milliseconds(250);
-constexpr auto LookRetryMax = std::chrono::milliseconds(1000);
-// A worker with ends that are not durable answers at once, so it is not asked
-// again before this time.
-constexpr auto UndurableLookPause = std::chrono::milliseconds(200);
 
 int64_t millis(base::Duration D) { return base::toMillis(D); }
 
 } // namespace
 
 bool Coordinator::Impl::reachable(const Worker &Of) const {
-  return Of.Known_ && Of.LookFailures_ < UnreachableAfter;
+  return Of.Known_ && Of.LookFailures_ < Worker::UnreachableAfter;
 }
 
 Coordinator::Impl::Worker &
@@ -181,11 +174,6 @@
   return Until;
 }
 
-bool Coordinator::Impl::wantsLook(const Worker &At) const {
-  return !At.Known_ || !At.Runs_.empty() || At.LookFailures_ > 0 ||
-         At.Acknowledged_ > At.AcknowledgedSent_ || !At.PendingEnds_.empty();
-}
-
 void Coordinator::Impl::driveWorkers() {
   for (Worker *Each : WorkerOrder_)
     if (!Each->LookInFlight_ && now() >= Each->NextLookAt_ && wantsLook(*Each))
@@ -203,7 +191,8 @@
 
 void Coordinator::Impl::removeIfOver(const std::string &Id) {
   Worker &Each = *Workers_.at(Id);
-  bool Unreachable = Each.LookFailures_ >= UnreachableAfter || !Each.Known_;
+  bool Unreachable =
+      Each.LookFailures_ >= Worker::UnreachableAfter || !Each.Known_;
   if (!Unreachable || now() <= Each.LeaseBound_)
     return;
   if (!Each.Runs_.empty())
@@ -213,186 +202,6 @@
     endLife(Each, "unlisted-and-lease-expired");
 }
 
-void Coordinator::Impl::look(Worker &At) {
-  if (Superseded_)
-    return;
-  LookOrder Order;
-  Order.Token_ = Settings_.Term_;
-  Order.AcknowledgedEnd_ = At.Acknowledged_;
-  // A worker that does not answer must not get its lease extended for ever.
-  if (At.Clock_ && At.LookFailures_ == 0 && !At.Runs_.empty())
-    Order.LeaseUntilMs_ = grantLease(At);
-  bool Settled = At.Known_ && At.LookFailures_ == 0 && !At.Runs_.empty() &&
-                 At.PendingEnds_.empty();
-  bool Doubts =
-      std::any_of(At.Runs_.begin(), At.Runs_.end(), [](const Run *Each) {
-        return Each->Phase_ == RunPhase::Doubtful ||
-               (Each->Phase_ == RunPhase::Stopping && Each->StopAnsweredAt_);
-      });
-  if (Settled && !Doubts)
-    Order.Wait_ = At.TailsPressed_ || At.TailOver_
-                      ? Settings_.Times_.TailLookWait_
-                      : Settings_.Times_.LookWait_;
-  At.LookInFlight_ = true;
-  At.LookSentAt_ = now();
-  At.AcknowledgedSent_ = At.Acknowledged_;
-  uint64_t Serial = ++At.LookSerial_;
-  Port_.look(addressOf(At), Order,
-             [Weak = weak_from_this(), Id = At.Info_.Id_, Born = At.Info_.Born_,
-              Serial](const LookReply &Reply) {
-               if (auto Self = Weak.lock())
-                 Self->lookAnswered(Id, Born, Serial, Reply);
-             });
-}
-
-void Coordinator::Impl::lookAnswered(const std::string &Id, int64_t Born,
-                                     uint64_t Serial, const LookReply &Reply) {
-  auto It = Workers_.find(Id);
-  if (It == Workers_.end() || It->second->LookSerial_ != Serial ||
-      (Born != 0 && It->second->Info_.Born_ != Born) || Superseded_)
-    return;
-  Worker &At = *It->second;
-  At.LookInFlight_ = false;
-  if (Reply.Status_ == OrderStatus::Fenced) {
-    fenced("look", At);
-    return;
-  }
-  if (Reply.Status_ == OrderStatus::WrongLife) {
-    endLife(At, "another-life-answered");
-    return;
-  }
-  if (Reply.Status_ != OrderStatus::Accepted) {
-    lookFailed(At, Reply.Status_);
-    return;
-  }
-  if (At.Info_.Born_ != 0 && Reply.Lists_.Born_ != 0 &&
-      At.Info_.Born_ != Reply.Lists_.Born_) {
-    WorkerInfo Next = At.Info_;
-    Next.Born_ = Reply.Lists_.Born_;
-    rebirth(At, Next);
-    return;
-  }
-  takeLists(At, Reply.Lists_, At.LookSentAt_);
-}
-
-void Coordinator::Impl::lookFailed(Worker &At, OrderStatus Status) {
-  ++At.LookFailures_;
-  if (At.LookFailures_ == UnreachableAfter)
-    base::logEvent(base::LogLevel::Warn, "worker-unreachable",
-                   {{"worker", At.Info_.Id_},
-                    {"status", static_cast<int64_t>(Status)},
-                    {"runs", static_cast<int64_t>(At.Runs_.size())},
-                    {"lease_left_ms", millis(At.LeaseBound_ - now())}});
-  At.NextLookAt_ = now() + std::min<base::Duration>(
-                               LookRetryMax, LookRetry * At.LookFailures_);
-}
-
-void Coordinator::Impl::takeLists(Worker &At, const WorkerLists &Lists,
-                                  base::TimePoint SentAt) {
-  if (At.LookFailures_ >= UnreachableAfter)
-    base::logEvent(base::LogLevel::Info, "worker-reachable",
-                   {{"worker", At.Info_.Id_}});
-  At.LookFailures_ = 0;
-  if (!At.Known_) {
-    At.Known_ = true;
-    PassWanted_ = true;
-  }
-  noteClock(At, Lists.ClockMs_);
-  std::string Id = At.Info_.Id_;
-  // Runs of an earlier term are adopted before their ends are taken.
-  for (const RunningRow &Row : Lists.Running_) {
-    Run *Which = runOn(At, Row.Task_, Row.Run_);
-    if (Which == nullptr) {
-      adopt(At, Row);
-      continue;
-    }
-    Which->Listed_ = true;
-    if (Which->Percent_ != Row.Percent_ ||
-        Which->Checkpoint_ != Row.Checkpoint_)
-      Which->ProgressAt_ = now();
-    Which->Percent_ = Row.Percent_;
-    Which->Load_ = Row.Load_;
-    if (!Row.Checkpoint_.empty())
-      Which->Checkpoint_ = Row.Checkpoint_;
-    if (Which->Phase_ == RunPhase::Ordered ||
-        Which->Phase_ == RunPhase::Doubtful)
-      Which->Phase_ = RunPhase::Running;
-  }
-  for (const EndedRow &Row : Lists.Ended_) {
-    if (Row.Number_ <= At.LastEnd_)
-      continue;
-    At.LastEnd_ = Row.Number_;
-    runEnded(At, Row);
-    Job *Owner = findJob(Row.Task_.Job_);
-    if (Owner != nullptr && Owner->Version_ > Owner->DurableVersion_)
-      At.PendingEnds_.push_back({Row.Number_, Owner->Id_, Owner->Version_});
-    else if (At.PendingEnds_.empty())
-      At.Acknowledged_ = Row.Number_;
-    else
-      At.PendingEnds_.push_back({Row.Number_, "", 0});
-  }
-  reconcile(At, Lists, SentAt);
-  learnPressure(At);
-  protectTails(At);
-  At.NextLookAt_ = At.PendingEnds_.empty() ? now() : now() + UndurableLookPause;
-}
-
-// A run that the worker lists neither as running nor as ended is over, if the
-// worker was asked after it had answered the order.
-void Coordinator::Impl::reconcile(Worker &At, const WorkerLists &Lists,
-                                  base::TimePoint SentAt) {
-  for (Run *Which : std::vector<Run *>(At.Runs_)) {
-    bool Listed = std::any_of(Lists.Running_.begin(), Lists.Running_.end(),
-                              [&](const RunningRow &Row) {
-                                return Row.Run_ == Which->Number_ &&
-                                       Row.Task_.At_ == Which->At_ &&
-                                       Row.Task_.Job_ == Which->Job_->Id_;
-                              });
-    if (Listed)
-      continue;
-    if (Which->Phase_ == RunPhase::Doubtful && SentAt >= Which->Since_)
-      requestStop(*Which, "start-unanswered");
-    else if (Which->Phase_ == RunPhase::Running && SentAt > Which->Since_)
-      requestStop(*Which, "not-listed");
-    else if (Which->Phase_ == RunPhase::Stopping && Which->StopAnsweredAt_ &&
-             SentAt > *Which->StopAnsweredAt_)
-      runVanished(*Which, "stopped-before-start");
-  }
-}
-
-void Coordinator::Impl::adopt(Worker &At, const RunningRow &Row) {
-  Task *Of = findTask(Row.Task_);
-  Job *Owner = findJob(Row.Task_.Job_);
-  if (Of == nullptr) {
-    base::logEvent(base::LogLevel::Warn, "unknown-task-stopped",
-                   {{"task", taskName(Row.Task_)},
-                    {"run", Row.Run_},
-                    {"worker", At.Info_.Id_}});
-    Port_.stop(addressOf(At), {Row.Task_, Row.Run_, Settings_.Term_},
-               [](const OrderReply &) {
-                 // The run shows in the next look if the stop was lost.
-               });
-    return;
-  }
-  StepWork &Step = *findStep(*Owner, Row.Task_.At_);
-  Run &Made = makeRun(Step, *Of, At, Row.Run_);
-  Made.Phase_ = RunPhase::Running;
-  Made.Adopted_ = Made.Listed_ = true;
-  Made.Percent_ = Row.Percent_;
-  Made.Load_ = Row.Load_;
-  Made.Checkpoint_ = Row.Checkpoint_;
-  Owner->NextRun_ = std::max(Owner->NextRun_, Row.Run_ + 1);
-  markStarted(*Owner);
-  base::logEvent(base::LogLevel::Info, "task-adopted",
-                 {{"task", taskName(Row.Task_)},
-                  {"run", Row.Run_},
-                  {"worker", At.Info_.Id_},
-                  {"percent", Row.Percent_}});
-  bool Extra = Of->Runs_.size() > 1 && !Step.Spec_->Speculative_;
-  if (isFinal(Owner->State_) || Of->Done_ || Extra)
-    requestStop(Made, "not-wanted");
-}
-
 void Coordinator::Impl::endLife(Worker &Of, const char *Reason) {
   std::string Id = Of.Info_.Id_;
   base::logEvent(base::LogLevel::Info, "worker-gone",
