--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -124,6 +124,9 @@
   base::Duration RunLength_ = std::chrono::milliseconds(600);
 
 private:
+  //! One way between coordinator, store and workers.
+  static constexpr base::Duration Hop = std::chrono::milliseconds(2);
+
   void after(base::Duration Delay, std::function<void()> Action);
   void advanceWorkers();
   void forgetEnds(const FakeWorker &Of);
