Buffer the log, keep sockets registered and start long-running tasks first

Change: lines below a warning go out once in each tick, never blocking; sockets stay registered until they are closed; a zero timeout is posted; long-running steps are placed before all others.

Ruled out: room that was not given back (the task started once the load fell).

The saving alone does not free the coordinator's core.

--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,15 +1,16 @@
 #include "base/Log.h"
 
 #include "base/LogBudget.h"
+#include "base/LogBuffer.h"
 
 #include <chrono>
 #include <cstdio>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <memory>
-#include <poll.h>
 #include <unistd.h>
 
 namespace crocuslead::base {
@@ -58,12 +59,36 @@
   return Budget;
 }
 
-//! False while the reader of the log does not keep up: writing would block.
-bool isWritable() {
-  pollfd Out{STDOUT_FILENO, POLLOUT, 0};
-  return ::poll(&Out, 1, 0) != 0;
+// A second of lines at the highest rate.
+constexpr std::size_t MaxBufferedBytes = 512U << 10U;
+
+LogBuffer &buffer() {
+  static LogBuffer Buffer(STDOUT_FILENO, MaxBufferedBytes);
+  return Buffer;
+}
+
+bool &batching() {
+  static bool Batching = false;
+  return Batching;
 }
 
+//! Hands formatted lines to the buffer. An event loop has one thread, so the
+//! buffer needs no lock besides log4cplus's own.
+class BufferAppender final : public log4cplus::Appender {
+public:
+  ~BufferAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    if (!buffer().append(formatEvent(Event)))
+      budget().drop();
+    // What explains a failure is not left behind in a process that dies.
+    if (!batching() || Event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL)
+      buffer().flush();
+  }
+};
+
 std::string lineStart(std::string_view Level, std::string_view Event) {
   return "{\"ts_ms\":" + std::to_string(unixMillis()) +
          ",\"level\":" + jsonQuote(Level) +
@@ -96,14 +121,20 @@
   instanceName() = std::move(Instance);
   log4cplus::Logger &Root = rootLogger();
   Root.removeAllAppenders();
-  log4cplus::SharedAppenderPtr Console(new log4cplus::ConsoleAppender(
-      /*logToStdErr=*/false, /*immediateFlush=*/true));
-  Console->setLayout(
+  log4cplus::SharedAppenderPtr Output(new BufferAppender);
+  Output->setLayout(
       std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
-  Root.addAppender(Console);
+  Root.addAppender(Output);
   Root.setLogLevel(Levels[static_cast<int>(Threshold)]);
 }
 
+void batchLog(bool On) {
+  batching() = On;
+  flushLog();
+}
+
+void flushLog() { buffer().flush(); }
+
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields) {
   log4cplus::Logger &Root = rootLogger();
@@ -113,10 +144,6 @@
   TimePoint Now = SystemClock().now();
   if (!budget().take(Now, Level >= LogLevel::Warn))
     return;
-  if (!isWritable()) {
-    budget().drop();
-    return;
-  }
   if (uint64_t Dropped = budget().takeDropped(Now))
     Root.log(log4cplus::WARN_LOG_LEVEL,
              lineStart("warn", "log-lines-dropped") +
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -35,6 +35,12 @@
 //! is dropped; the number of dropped ones is logged once there is room.
 void configureLog(LogLevel Threshold, std::string Instance);
 
+//! Keeps lines below the level of a warning until flushLog(); off at first. For
+//! event loops, which flush once in each tick.
+void batchLog(bool On);
+//! Writes out what is kept, as far as that does not block.
+void flushLog();
+
 //! Writes one event. Event names are stable: operators build alarms on them.
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields = {});
--- a/src/http/MultiCore.cpp
+++ b/src/http/MultiCore.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 
 #include <stdexcept>
+#include <unistd.h>
 
 namespace crocuslead::http::internal {
 
@@ -79,6 +80,9 @@
   auto Made = std::make_shared<Transfer>(takeEasy(), std::move(Request),
                                          std::move(Sink), Streams,
                                          std::move(Done), Ready_);
+  curl_easy_setopt(Made->easy(), CURLOPT_CLOSESOCKETFUNCTION,
+                   &MultiCore::onClose);
+  curl_easy_setopt(Made->easy(), CURLOPT_CLOSESOCKETDATA, this);
   ++Total_.Exchanges_;
   Running_[Made->easy()] = Made;
   CURLMcode Code = curl_multi_add_handle(Multi_, Made->easy());
@@ -151,12 +155,8 @@
 void MultiCore::watchSocket(curl_socket_t Socket, int What) {
   auto It = Watches_.find(Socket);
   if (What == CURL_POLL_REMOVE) {
-    if (It == Watches_.end())
-      return;
-    // libcurl owns the socket and closes it or keeps it for reuse.
-    It->second->Wanted_ = 0;
-    It->second->Descriptor_.release();
-    Watches_.erase(It);
+    if (It != Watches_.end())
+      It->second->Wanted_ = 0;
     return;
   }
   if (It == Watches_.end()) {
@@ -170,6 +170,16 @@
     wait(Socket, On, Direction);
 }
 
+int MultiCore::onClose(void *Self, curl_socket_t Socket) {
+  auto &Watches = static_cast<MultiCore *>(Self)->Watches_;
+  if (auto It = Watches.find(Socket); It != Watches.end()) {
+    It->second->Wanted_ = 0;
+    It->second->Descriptor_.release();
+    Watches.erase(It);
+  }
+  return ::close(Socket);
+}
+
 void MultiCore::wait(curl_socket_t Socket, const std::shared_ptr<Watch> &On,
                      int Direction) {
   if ((On->Wanted_ & Direction) == 0 || (On->Waiting_ & Direction) != 0)
@@ -182,8 +192,8 @@
                                     Direction](auto Error) {
     On->Waiting_ &= ~Direction;
     auto Self = Core.lock();
-    // A watch that has been dropped wants nothing; its number may belong
-    // to another socket by now.
+    // The watch of a closed socket wants nothing; its number may belong to
+    // another socket by now.
     if (!Self || (On->Wanted_ & Direction) == 0)
       return;
     int Ready = Direction == CURL_POLL_IN ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
@@ -205,6 +215,17 @@
 }
 
 void MultiCore::setTimer(long TimeoutMs) {
+  if (TimeoutMs == 0) {
+    // Each start of an exchange asks for this; it needs no system call.
+    if (!std::exchange(TimeoutPosted_, true))
+      asio::post(Loop_, [Core = weak_from_this()] {
+        if (auto Self = Core.lock()) {
+          Self->TimeoutPosted_ = false;
+          Self->act(CURL_SOCKET_TIMEOUT, 0);
+        }
+      });
+    return;
+  }
   if (TimeoutMs < 0) {
     Timer_.cancel();
     return;
--- a/src/http/internal/MultiCore.h
+++ b/src/http/internal/MultiCore.h
@@ -30,7 +30,8 @@
   ClientCounters counters() const;
 
 private:
-  //! One socket that libcurl wants to know about.
+  //! One socket of libcurl's. It stays registered with the event loop until
+  //! it is closed, also while no exchange uses it.
   struct Watch {
     explicit Watch(asio::io_context &Loop) : Descriptor_(Loop) {}
     asio::posix::stream_descriptor Descriptor_;
@@ -41,6 +42,7 @@
 
   static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *Self,
                       void *PerSocket);
+  static int onClose(void *Self, curl_socket_t Socket);
   static int onTimer(CURLM *Multi, long TimeoutMs, void *Self);
   void watchSocket(curl_socket_t Socket, int What);
   void setTimer(long TimeoutMs);
@@ -58,6 +60,7 @@
   asio::io_context &Loop_;
   asio::steady_timer Timer_;
   CURLM *Multi_;
+  bool TimeoutPosted_ = false;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches_;
   std::unordered_map<CURL *, std::shared_ptr<Transfer>> Running_;
   //! End the exchanges that still wait for a connection at their timeout.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -113,8 +113,10 @@
   }
 
   // Placement.cpp
+  enum class Urgency : uint8_t { Serving, OnTime, Late };
   void place();
-  void placeReady(bool Late);
+  Urgency urgencyOf(const StepWork &Step) const;
+  void placeReady(Urgency Which);
   //! Sizes that found no worker in this pass.
   struct NoRoom;
   bool placeStep(StepWork &Step);
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -224,12 +224,21 @@
   PassWanted_ = false;
   if (Superseded_)
     return;
-  // Jobs that can still meet their target go before those that are late.
-  placeReady(false);
-  placeReady(true);
+  for (Urgency Which : {Urgency::Serving, Urgency::OnTime, Urgency::Late})
+    placeReady(Which);
 }
 
-void Coordinator::Impl::placeReady(bool Late) {
+// Long-running tasks are missed at every moment that they do not run. Jobs that
+// can still meet their target go before those that are late.
+Coordinator::Impl::Urgency
+Coordinator::Impl::urgencyOf(const StepWork &Step) const {
+  if (Step.Spec_->LongRunning_)
+    return Urgency::Serving;
+  return now() + Step.Spec_->Estimate_ > Step.Job_->Target_ ? Urgency::Late
+                                                            : Urgency::OnTime;
+}
+
+void Coordinator::Impl::placeReady(Urgency Which) {
   int Starts = 0;
   NoRoom Failed;
   for (auto It = Ready_.begin(); It != Ready_.end();) {
@@ -238,7 +247,7 @@
       ++It;
       continue;
     }
-    if ((now() + Step.Spec_->Estimate_ > Step.Job_->Target_) != Late) {
+    if (urgencyOf(Step) != Which) {
       ++It;
       continue;
     }
--- a/tests/jobs/Coordinator.tests.cpp
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -250,6 +250,32 @@
   requireNoBreach(World);
 }
 
+// Guards against serving tasks that wait behind a stream of short jobs.
+TEST_CASE("A long-running task that failed goes before jobs that are on time") {
+  JobWorld World;
+  startWith(World, 1);
+  JobSpec Serving = chain(1, 1, 4'000);
+  Serving.Steps_[0].LongRunning_ = true;
+  World.RunLength_ = seconds(1'000);
+  World.submit("serving", Serving);
+  World.run(seconds(4));
+  REQUIRE(World.Oracle_.RunsOn_["serving.0.0.0"].size() == 1);
+  World.RunLength_ = milliseconds(300);
+  int Job = 0;
+  auto Load = [&](base::Duration Time) {
+    for (base::TimePoint End = World.now() + Time; World.now() < End;) {
+      World.submit("job" + std::to_string(Job++), chain(1, 6, 3'000));
+      World.run(milliseconds(100));
+    }
+  };
+  Load(seconds(2));
+  World.worker("w0").Runs_.at("serving.0.0.0").Fails_ = true;
+  World.worker("w0").Runs_.at("serving.0.0.0").Length_ = milliseconds(1);
+  Load(seconds(2));
+  CHECK(World.startsOf("serving.0.0.0") == 2);
+  requireNoBreach(World);
+}
+
 TEST_CASE("A fenced coordinator sends no further order") {
   JobWorld World;
   startWith(World, 1);
