Bound the looks that end without news; measure a coordinator over loopback

Change: the wait where tails are pressed follows a budget of 500 looks a second; checks collect only what is due. crocuslead-measure coordinator runs a coordinator for 66, 245 and 490 stand-in workers over loopback.

--- a/bench/Figures.h
+++ b/bench/Figures.h
@@ -31,6 +31,7 @@
 
 void scheduleFigures();
 void partitionFigures();
+void coordinatorFigures();
 void routeFigures();
 void fleetFigures();
 
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -17,6 +17,7 @@
 
 constexpr Area Areas[] = {{"schedule", scheduleFigures},
                           {"partition", partitionFigures},
+                          {"coordinator", coordinatorFigures},
                           {"route", routeFigures},
                           {"fleet", fleetFigures}};
 
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -30,8 +30,11 @@
   //! old.
   base::Duration LookWait_ = std::chrono::milliseconds(1000);
   //! The same where best-effort tasks press on serving ones: figures cover the
-  //! last half second.
-  base::Duration TailLookWait_ = std::chrono::milliseconds(500);
+  //! last half second. Longer in a fleet whose looks would exceed
+  //! LooksPerSecond_.
+  base::Duration TailLookWait_ = std::chrono::milliseconds(400);
+  //! Looks that end without news which a coordinator affords.
+  double LooksPerSecond_ = 500;
   //! Time in which a worker stops a task.
   base::Duration StopTimeout_ = std::chrono::milliseconds(900);
   //! Collects ends into one store write.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -82,6 +82,10 @@
   void taskFailed(Job &Owner, StepWork &Step, Task &Of, const EndedRow &Row);
   void noteOutcome(Worker &On, Run *Which, const EndedRow &Row);
   void driveRuns();
+  bool stopDue(const Run &Which) const;
+  bool isJudged(const Run &Which) const;
+  bool standsStill(const Run &Which) const;
+  bool isStraggler(const Run &Which) const;
   void checkProgress(Run &Which);
   void fenced(const char *Where, const Worker &By);
   Run *findRun(uint64_t Serial);
@@ -92,6 +96,7 @@
   void driveWorkers();
   void look(Worker &At);
   bool wantsLook(const Worker &At) const;
+  base::Duration lookWait(const Worker &At) const;
   void lookAnswered(const std::string &Id, int64_t Born, uint64_t Serial,
                     const LookReply &Reply);
   void takeLists(Worker &At, const WorkerLists &Lists, base::TimePoint SentAt);
--- a/src/jobs/internal/Looks.cpp
+++ b/src/jobs/internal/Looks.cpp
@@ -21,6 +21,17 @@
          At.Acknowledged_ > At.AcknowledgedSent_ || !At.PendingEnds_.empty();
 }
 
+base::Duration Coordinator::Impl::lookWait(const Worker &At) const {
+  if (!At.TailsPressed_ && !At.TailOver_)
+    return Settings_.Times_.LookWait_;
+  std::chrono::duration<double> Affordable(
+      static_cast<double>(WorkerOrder_.size()) /
+      Settings_.Times_.LooksPerSecond_);
+  return std::clamp(std::chrono::duration_cast<base::Duration>(Affordable),
+                    Settings_.Times_.TailLookWait_,
+                    Settings_.Times_.LookWait_);
+}
+
 void Coordinator::Impl::look(Worker &At) {
   if (Superseded_)
     return;
@@ -38,9 +49,7 @@
                (Each->Phase_ == RunPhase::Stopping && Each->StopAnsweredAt_);
       });
   if (Settled && !Doubts)
-    Order.Wait_ = At.TailsPressed_ || At.TailOver_
-                      ? Settings_.Times_.TailLookWait_
-                      : Settings_.Times_.LookWait_;
+    Order.Wait_ = lookWait(At);
   At.LookInFlight_ = true;
   At.LookSentAt_ = now();
   At.AcknowledgedSent_ = At.Acknowledged_;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -338,53 +338,71 @@
     finishJob(Owner, JobState::Failed, "attempts-used-up");
 }
 
-void Coordinator::Impl::checkProgress(Run &Which) {
-  if (Which.Phase_ != RunPhase::Running || Which.Pace_ < MinJudgedPace ||
-      !reachable(*Which.Worker_))
-    return;
+bool Coordinator::Impl::stopDue(const Run &Which) const {
+  return Which.Phase_ == RunPhase::Stopping && !Which.StopAnsweredAt_ &&
+         now() >= Which.NextStopAt_ && Which.Worker_->Known_;
+}
+
+bool Coordinator::Impl::isJudged(const Run &Which) const {
+  return Which.Phase_ == RunPhase::Running && Which.Pace_ >= MinJudgedPace &&
+         reachable(*Which.Worker_);
+}
+
+bool Coordinator::Impl::standsStill(const Run &Which) const {
+  if (!isJudged(Which))
+    return false;
   const StepSpec &Spec = *Which.Step_->Spec_;
-  Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
   base::Duration Still = now() - Which.ProgressAt_;
-  bool Stalled = Spec.LongRunning_
-                     ? Which.Percent_ < FullPercent && Still > StartupTime
-                     : Still > StallTime && !Spec.Gang_;
-  if (Stalled) {
-    ++Which.Worker_->FailStreak_;
-    Which.Worker_->AvoidUntil_ = now() + SuspectPause;
-    Of.AvoidWorker_ = Which.Worker_->Info_.Id_;
-    requestStop(Which, "no-progress");
-    return;
-  }
+  return Spec.LongRunning_ ? Which.Percent_ < FullPercent && Still > StartupTime
+                           : Still > StallTime && !Spec.Gang_;
+}
+
+bool Coordinator::Impl::isStraggler(const Run &Which) const {
+  if (!isJudged(Which) || Which.Percent_ <= 0 ||
+      Which.Percent_ > FullPercent / 2 || Which.Step_->Measured_ < 2 ||
+      Which.Adopted_)
+    return false;
+  const StepSpec &Spec = *Which.Step_->Spec_;
+  const Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
+  if (Of.Moves_ >= MaxMoves || Spec.LongRunning_ || Spec.Gang_ ||
+      Spec.BestEffort_)
+    return false;
   double Elapsed = base::toSeconds(now() - Which.StartedAt_);
-  if (Of.Moves_ >= MaxMoves || Which.Adopted_ || Spec.LongRunning_ ||
-      Spec.Gang_ || Spec.BestEffort_ || Which.Step_->Measured_ < 2 ||
-      Which.Percent_ <= 0 || Which.Percent_ > FullPercent / 2)
-    return;
   double Reported = base::toSeconds(Which.ProgressAt_ - Which.StartedAt_);
   double Expected = Reported * FullPercent / Which.Percent_;
-  if (Expected > StragglerFactor * Which.Step_->MeanSeconds_ &&
-      Elapsed > Which.Step_->MeanSeconds_) {
+  return Expected > StragglerFactor * Which.Step_->MeanSeconds_ &&
+         Elapsed > Which.Step_->MeanSeconds_;
+}
+
+void Coordinator::Impl::checkProgress(Run &Which) {
+  Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
+  Worker &On = *Which.Worker_;
+  if (standsStill(Which)) {
+    ++On.FailStreak_;
+    requestStop(Which, "no-progress");
+  } else if (isStraggler(Which)) {
     ++Of.Moves_;
-    Of.AvoidWorker_ = Which.Worker_->Info_.Id_;
-    Which.Worker_->AvoidUntil_ = now() + SuspectPause;
     requestStop(Which, "straggler");
+  } else {
+    return;
   }
+  On.AvoidUntil_ = now() + SuspectPause;
+  Of.AvoidWorker_ = On.Info_.Id_;
 }
 
 void Coordinator::Impl::driveRuns() {
-  std::vector<uint64_t> Serials;
-  Serials.reserve(Runs_.size());
+  // A stop may end runs, so the table is not walked while any is sent.
+  std::vector<uint64_t> Due;
   for (auto &[Serial, Each] : Runs_)
-    Serials.push_back(Serial);
-  for (uint64_t Serial : Serials) {
-    Run *Which = findRun(Serial);
-    if (Which == nullptr)
-      continue;
-    if (Which->Phase_ == RunPhase::Stopping && !Which->StopAnsweredAt_ &&
-        now() >= Which->NextStopAt_ && Which->Worker_->Known_)
-      sendStop(*Which);
-    checkProgress(*Which);
-  }
+    if (stopDue(*Each) || standsStill(*Each) || isStraggler(*Each))
+      Due.push_back(Serial);
+  for (uint64_t Serial : Due)
+    if (Run *Which = findRun(Serial)) {
+      if (stopDue(*Which))
+        sendStop(*Which);
+      else
+        checkProgress(*Which);
+    }
 }
 
 } // namespace crocuslead::jobs
