--- a/src/base/LogBudget.cpp
+++ b/src/base/LogBudget.cpp
@@ -5,6 +5,10 @@
 
 namespace crocuslead::base {
 
+namespace {
+constexpr auto ReportInterval = std::chrono::seconds(1);
+}
+
 void LogBudget::refill(TimePoint Now) {
   if (Now > At_)
     Left_ = std::min(Burst_, Left_ + Rate_ * toSeconds(Now - At_));
@@ -24,9 +28,10 @@
 
 uint64_t LogBudget::takeDropped(TimePoint Now) {
   refill(Now);
-  if (Dropped_ == 0 || Left_ < 1)
+  if (Dropped_ == 0 || Left_ < 1 || Now < NextReport_)
     return 0;
   Left_ -= 1;
+  NextReport_ = Now + ReportInterval;
   return std::exchange(Dropped_, 0);
 }
 
--- a/src/base/LogBudget.h
+++ b/src/base/LogBudget.h
@@ -17,7 +17,8 @@
   bool take(TimePoint Now, bool Important);
   //! Counts a line that could not be written.
   void drop() { ++Dropped_; }
-  //! Lines dropped since the last call, once there is room to tell; 0 else.
+  //! Lines dropped since they were last told, at most once a second and when
+  //! there is room to tell; 0 else.
   uint64_t takeDropped(TimePoint Now);
 
 private:
@@ -28,6 +29,7 @@
   double Left_;
   TimePoint At_;
   uint64_t Dropped_ = 0;
+  TimePoint NextReport_;
 };
 
 } // namespace crocuslead::base
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -127,13 +127,21 @@
   bool placeStep(StepWork &Step);
   bool placeGang(StepWork &Step);
   bool isReady(const StepWork &Step, const Task &Of) const;
+  //! A worker that may take tasks of a step, and how well it suits them.
+  struct Candidate {
+    Worker *On_ = nullptr;
+    double Score_ = 0;
+  };
+  std::vector<Candidate> rank(const StepWork &Step,
+                              const std::string &WantedRack);
+  static Candidate *best(std::vector<Candidate> &Ranked, const Task &Of);
   Worker *chooseWorker(const StepWork &Step, const Task &Of,
-                       const std::string *WantedRack);
+                       const std::string &WantedRack);
   bool fits(const StepWork &Step, Worker &On) const;
   bool takesStarts(const Worker &On) const;
-  bool eligible(const StepWork &Step, const Task &Of, Worker &On) const;
+  bool eligible(const StepWork &Step, Worker &On) const;
   double placementScore(const StepWork &Step, Worker &On,
-                        const std::string *WantedRack) const;
+                        const std::string &WantedRack) const;
   double packingScore(const StepWork &Step, const Worker &On) const;
   void placeCopies();
 
--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -265,7 +265,7 @@
       continue;
     ++Moves;
     Task &Of = Which->Step_->Tasks_[Which->At_.Index_];
-    if (chooseWorker(*Which->Step_, Of, nullptr) == nullptr)
+    if (chooseWorker(*Which->Step_, Of, "") == nullptr)
       continue;
     ++Of.Escapes_;
     Of.AvoidWorker_ = Which->Worker_->Info_.Id_;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -63,8 +63,7 @@
          DomainsOut_.count(On.Info_.Domain_) == 0;
 }
 
-bool Coordinator::Impl::eligible(const StepWork &Step, const Task &Of,
-                                 Worker &On) const {
+bool Coordinator::Impl::eligible(const StepWork &Step, Worker &On) const {
   const StepSpec &Spec = *Step.Spec_;
   if (!takesStarts(On))
     return false;
@@ -78,10 +77,7 @@
     if (Here >= static_cast<int64_t>(Spec.MaxPerWorker_))
       return false;
   }
-  // Copies of one task belong on different workers.
-  return std::none_of(Of.Runs_.begin(), Of.Runs_.end(),
-                      [&](const Run *R) { return R->Worker_ == &On; }) &&
-         fits(Step, On);
+  return fits(Step, On);
 }
 
 // Serving tasks are packed, so that workers without any are left for the
@@ -103,7 +99,7 @@
 }
 
 double Coordinator::Impl::placementScore(const StepWork &Step, Worker &On,
-                                         const std::string *WantedRack) const {
+                                         const std::string &WantedRack) const {
   const StepSpec &Spec = *Step.Spec_;
   double Room =
       std::max<double>(1, static_cast<double>(On.Info_.Room_.MilliCpu_));
@@ -119,50 +115,87 @@
              (On.Serving_ == 0 ? NoServingScore : 0);
   if (Spec.TailTarget_.count() > 0)
     Score = packingScore(Step, On);
-  if (WantedRack != nullptr && !WantedRack->empty() &&
-      *WantedRack == On.Info_.Rack_)
+  if (!WantedRack.empty() && WantedRack == On.Info_.Rack_)
     Score += RackScore;
   return Score;
 }
 
-Coordinator::Impl::Worker *
-Coordinator::Impl::chooseWorker(const StepWork &Step, const Task &Of,
-                                const std::string *WantedRack) {
+std::vector<Coordinator::Impl::Candidate>
+Coordinator::Impl::rank(const StepWork &Step, const std::string &WantedRack) {
+  std::vector<Candidate> Out;
   const QueueConfig *Queue = queueOf(*Step.Job_);
   if (Queue == nullptr)
-    return nullptr;
+    return Out;
   base::TimePoint Now = now();
-  Worker *Best = nullptr;
-  double BestScore = 0;
   for (Worker *Each : WorkerOrder_) {
-    if (Each->Info_.Service_ != Queue->Service_ || !eligible(Step, Of, *Each))
+    if (Each->Info_.Service_ != Queue->Service_ || !eligible(Step, *Each))
       continue;
     double Score = placementScore(Step, *Each, WantedRack);
-    if (Now < Each->AvoidUntil_ || Of.AvoidWorker_ == Each->Info_.Id_)
+    Out.push_back(
+        {Each, Now < Each->AvoidUntil_ ? Score - AvoidedScore : Score});
+  }
+  return Out;
+}
+
+// The best worker for one task, or none.
+Coordinator::Impl::Candidate *
+Coordinator::Impl::best(std::vector<Candidate> &Ranked, const Task &Of) {
+  Candidate *Best = nullptr;
+  double BestScore = 0;
+  for (Candidate &Each : Ranked) {
+    // Copies of one task belong on different workers.
+    bool Here =
+        std::any_of(Of.Runs_.begin(), Of.Runs_.end(),
+                    [&](const Run *R) { return R->Worker_ == Each.On_; });
+    if (Here)
+      continue;
+    double Score = Each.Score_;
+    if (!Of.AvoidWorker_.empty() && Of.AvoidWorker_ == Each.On_->Info_.Id_)
       Score -= AvoidedScore;
     if (Best == nullptr || Score > BestScore) {
-      Best = Each;
+      Best = &Each;
       BestScore = Score;
     }
   }
   return Best;
 }
 
+Coordinator::Impl::Worker *
+Coordinator::Impl::chooseWorker(const StepWork &Step, const Task &Of,
+                                const std::string &WantedRack) {
+  std::vector<Candidate> Ranked = rank(Step, WantedRack);
+  Candidate *Best = best(Ranked, Of);
+  return Best != nullptr ? Best->On_ : nullptr;
+}
+
+// Workers are weighed once for all tasks of the step; a start changes only the
+// worker that it goes to.
 bool Coordinator::Impl::placeStep(StepWork &Step) {
   if (Step.Spec_->Gang_)
     return placeGang(Step);
   bool Placed = false;
   std::string Rack = Step.Spec_->DataRack_;
+  std::optional<std::vector<Candidate>> Ranked;
   for (Task &Of : Step.Tasks_) {
     if (!isReady(Step, Of))
       continue;
-    Worker *On = chooseWorker(Step, Of, &Rack);
-    if (On == nullptr)
+    if (!Ranked)
+      Ranked = rank(Step, Rack);
+    Candidate *Chosen = best(*Ranked, Of);
+    if (Chosen == nullptr)
       break;
-    if (Step.Spec_->TightlyCoupled_ && Rack.empty())
-      Rack = On->Info_.Rack_;
-    startRun(Step, Of, *On, Step.Job_->NextRun_++);
+    Worker &On = *Chosen->On_;
+    startRun(Step, Of, On, Step.Job_->NextRun_++);
     Placed = true;
+    if (Step.Spec_->TightlyCoupled_ && Rack.empty()) {
+      Rack = On.Info_.Rack_;
+      Ranked.reset();
+    } else if (eligible(Step, On)) {
+      Chosen->Score_ = placementScore(Step, On, Rack);
+    } else {
+      *Chosen = Ranked->back();
+      Ranked->pop_back();
+    }
   }
   return Placed;
 }
@@ -176,7 +209,7 @@
   std::vector<std::pair<Task *, Worker *>> Chosen;
   std::vector<Run *> Reserved;
   for (Task &Of : Step.Tasks_) {
-    Worker *On = chooseWorker(Step, Of, &Rack);
+    Worker *On = chooseWorker(Step, Of, Rack);
     if (On == nullptr)
       break;
     if (Step.Spec_->TightlyCoupled_ && Rack.empty())
@@ -294,7 +327,7 @@
   }
   for (Run *Each : Late) {
     Task &Of = Each->Step_->Tasks_[Each->At_.Index_];
-    if (Worker *On = chooseWorker(*Each->Step_, Of, nullptr);
+    if (Worker *On = chooseWorker(*Each->Step_, Of, "");
         On != nullptr && !Of.Done_)
       startRun(*Each->Step_, Of, *On, Each->Job_->NextRun_++);
   }
