--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -39,7 +39,7 @@
 constexpr auto HeldBackTime = std::chrono::milliseconds(800);
 // Progress that is not checkpointed is given up for a move up to this percent.
 constexpr int LosablePercent = 30;
-constexpr uint32_t MaxEscapes = 4;
+constexpr uint32_t MaxEscapes = 10;
 // Moves of one pass: each search visits all workers.
 constexpr int MaxMovesPerPass = 3;
 
