--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -81,15 +81,17 @@
   void runEnded(Worker &On, const EndedRow &Row);
   void taskFailed(Job &Owner, StepWork &Step, Task &Of, const EndedRow &Row);
   void noteOutcome(Worker &On, Run *Which, const EndedRow &Row);
-  void driveRuns();
+  void fenced(const char *Where, const Worker &By);
+  Run *findRun(uint64_t Serial);
+  Run *runOn(Worker &On, const TaskId &Task, uint64_t Number);
+
+  // Progress.cpp: what the progress of runs asks for.
   static bool stopDue(const Run &Which, base::TimePoint Now);
   bool isJudged(const Run &Which) const;
   bool standsStill(const Run &Which, base::TimePoint Now) const;
   bool isStraggler(const Run &Which, base::TimePoint Now) const;
   void checkProgress(Run &Which, base::TimePoint Now);
-  void fenced(const char *Where, const Worker &By);
-  Run *findRun(uint64_t Serial);
-  Run *runOn(Worker &On, const TaskId &Task, uint64_t Number);
+  void driveRuns();
 
   // Workers.cpp: looks, leases and lives.
   Worker &makeWorker(const WorkerInfo &Info);
--- /dev/null
+++ b/src/jobs/internal/Progress.cpp
@@ -0,0 +1,95 @@
+#include "jobs/internal/Impl.h"
+
+#include <chrono>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// Looks show progress at most LookWait_ + one exchange apart; a task that
+// shows none for longer stands still.
+constexpr auto StallTime = std::chrono::milliseconds(2200);
+// A long-running task is at work within its short startup.
+constexpr auto StartupTime = std::chrono::milliseconds(3000);
+// Below this pace a lack of progress says nothing.
+constexpr int MinJudgedPace = 30;
+// A task this many times slower than its siblings is moved.
+constexpr double StragglerFactor = 3.5;
+// A task that is slow wherever it runs is left alone after this many moves.
+constexpr uint32_t MaxMoves = 2;
+
+} // namespace
+
+bool Coordinator::Impl::stopDue(const Run &Which, base::TimePoint Now) {
+  return Which.Phase_ == RunPhase::Stopping && !Which.StopAnsweredAt_ &&
+         Now >= Which.NextStopAt_ && Which.Worker_->Known_;
+}
+
+bool Coordinator::Impl::isJudged(const Run &Which) const {
+  return Which.Phase_ == RunPhase::Running && Which.Pace_ >= MinJudgedPace &&
+         reachable(*Which.Worker_);
+}
+
+bool Coordinator::Impl::standsStill(const Run &Which,
+                                    base::TimePoint Now) const {
+  if (!isJudged(Which))
+    return false;
+  const StepSpec &Spec = *Which.Step_->Spec_;
+  base::Duration Still = Now - Which.ProgressAt_;
+  return Spec.LongRunning_
+             ? Which.Percent_ < internal::FullPercent && Still > StartupTime
+             : Still > StallTime && !Spec.Gang_;
+}
+
+bool Coordinator::Impl::isStraggler(const Run &Which,
+                                    base::TimePoint Now) const {
+  if (!isJudged(Which) || Which.Percent_ <= 0 ||
+      Which.Percent_ > internal::FullPercent / 2 ||
+      Which.Step_->Measured_ < 2 || Which.Adopted_)
+    return false;
+  const StepSpec &Spec = *Which.Step_->Spec_;
+  const Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
+  if (Of.Moves_ >= MaxMoves || Spec.LongRunning_ || Spec.Gang_ ||
+      Spec.BestEffort_)
+    return false;
+  double Elapsed = base::toSeconds(Now - Which.StartedAt_);
+  double Reported = base::toSeconds(Which.ProgressAt_ - Which.StartedAt_);
+  double Expected = Reported * internal::FullPercent / Which.Percent_;
+  return Expected > StragglerFactor * Which.Step_->MeanSeconds_ &&
+         Elapsed > Which.Step_->MeanSeconds_;
+}
+
+void Coordinator::Impl::checkProgress(Run &Which, base::TimePoint Now) {
+  Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
+  Worker &On = *Which.Worker_;
+  if (standsStill(Which, Now)) {
+    ++On.FailStreak_;
+    requestStop(Which, "no-progress");
+  } else if (isStraggler(Which, Now)) {
+    ++Of.Moves_;
+    requestStop(Which, "straggler");
+  } else {
+    return;
+  }
+  On.AvoidUntil_ = Now + internal::SuspectPause;
+  Of.AvoidWorker_ = On.Info_.Id_;
+}
+
+void Coordinator::Impl::driveRuns() {
+  base::TimePoint Now = now();
+  // A stop may end runs, so the table is not walked while any is sent.
+  std::vector<uint64_t> Due;
+  for (auto &[Serial, Each] : Runs_)
+    if (stopDue(*Each, Now) || standsStill(*Each, Now) ||
+        isStraggler(*Each, Now))
+      Due.push_back(Serial);
+  for (uint64_t Serial : Due)
+    if (Run *Which = findRun(Serial)) {
+      if (stopDue(*Which, Now))
+        sendStop(*Which);
+      else
+        checkProgress(*Which, Now);
+    }
+}
+
+} // namespace crocuslead::jobs
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -28,6 +28,12 @@
   Stopping,
 };
 
+//! A worker that fails or holds up what it runs is avoided for this time.
+constexpr auto SuspectPause = std::chrono::seconds(3);
+
+//! Progress of a task at its end, and full pace.
+constexpr int FullPercent = 100;
+
 //! Pace of a run that an earlier term may have changed.
 constexpr int UnknownPace = -1;
 
