--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -32,7 +32,7 @@
   //! The same where best-effort tasks press on serving ones: figures cover the
   //! last half second. Longer in a fleet whose looks would exceed
   //! LooksPerSecond_.
-  base::Duration TailLookWait_ = std::chrono::milliseconds(400);
+  base::Duration TailLookWait_ = std::chrono::milliseconds(250);
   //! Looks that end without news which a coordinator affords.
   double LooksPerSecond_ = 500;
   //! Time in which a worker stops a task.
