--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -246,8 +246,12 @@
       Now - *Which.HeldBackSince_ < HeldBackTime || !reachable(*Which.Worker_))
     return false;
   const Task &Of = Which.Step_->Tasks_[Which.At_.Index_];
-  return Of.Escapes_ < MaxEscapes && Of.Runs_.size() == 1 &&
-         (Which.Step_->Spec_->Checkpoints_ || Which.Percent_ <= LosablePercent);
+  const StepSpec &Spec = *Which.Step_->Spec_;
+  // A stop would end the others of a gang, and count against the budget of a
+  // long-running step.
+  return !Spec.Gang_ && !Spec.LongRunning_ && Of.Escapes_ < MaxEscapes &&
+         Of.Runs_.size() == 1 &&
+         (Spec.Checkpoints_ || Which.Percent_ <= LosablePercent);
 }
 
 // A task that its neighbours hold back would wait until they leave, so it goes
--- a/tests/jobs/Pacing.tests.cpp
+++ b/tests/jobs/Pacing.tests.cpp
@@ -27,14 +27,14 @@
 //! One worker, at which a best-effort task runs beside a serving one.
 struct Neighbours {
   JobWorld World_;
-  Neighbours() {
+  explicit Neighbours(const JobSpec &Batch = bestEffort(1)) {
     World_.addWorker("w0");
     World_.takeOver();
     World_.run(milliseconds(200));
     World_.submit("serving", serving());
     World_.run(seconds(4));
     World_.RunLength_ = seconds(60);
-    World_.submit("batch", bestEffort(1));
+    World_.submit("batch", Batch);
     World_.run(milliseconds(500));
   }
   FakeRun &batch() { return World_.worker("w0").Runs_.at("batch.0.0.0"); }
@@ -72,6 +72,24 @@
   CHECK(World_.startsOf("batch.0.0.0") == 1);
 }
 
+// Guards against gangs that are broken and long-running tasks that are stopped
+// outside of their budget.
+TEST_CASE("Gangs and long-running tasks that are held back are not moved") {
+  for (bool Gang : {true, false}) {
+    CAPTURE(Gang);
+    JobSpec Batch = bestEffort(1);
+    Batch.Steps_[0].Gang_ = Gang;
+    Batch.Steps_[0].LongRunning_ = !Gang;
+    Neighbours Fleet(Batch);
+    Fleet.World_.worker("w0").TailMs_ = 80;
+    Fleet.World_.run(seconds(3));
+    REQUIRE(Fleet.batch().Pace_ == 0);
+    Fleet.World_.addWorker("w1");
+    Fleet.World_.run(seconds(3));
+    CHECK(Fleet.World_.startsOf("batch.0.0.0") == 1);
+  }
+}
+
 // Guards against a successor that takes a stopped task for one at full pace and
 // never lets it work again.
 TEST_CASE_FIXTURE(Neighbours, "A successor lets a slowed task work again") {
