--- a/src/jobs/internal/Pacing.cpp
+++ b/src/jobs/internal/Pacing.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 // Headroom (target over tail) that is kept; 1 is the target itself. The rest
-// covers the swing of loads until the next look.
+// covers the swing of loads until the next look. These figures and those of
+// moves are weighed in docs/decisions/best-effort.md.
 constexpr double KeptHeadroom = 1.6;
 // A new neighbour needs more, since it works at full pace until it is seen.
 constexpr double StartHeadroom = 2.1;
@@ -39,6 +40,7 @@
 constexpr auto HeldBackTime = std::chrono::milliseconds(800);
 // Progress that is not checkpointed is given up for a move up to this percent.
 constexpr int LosablePercent = 30;
+// A task that finds no place after so many moves stays.
 constexpr uint32_t MaxEscapes = 10;
 // Moves of one pass: each search visits all workers.
 constexpr int MaxMovesPerPass = 3;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-// Serving tasks reserve for their peak and use about this much of it.
+// Serving tasks reserve for their peak and use about this much of it
+// (docs/decisions/best-effort.md).
 constexpr double ServingUse = 0.4;
-// Weights of a worker's score; the free share of the CPU counts 1.
+// Weights of a worker's score; the free share of the CPU counts 1. Those of
+// best-effort tasks are from docs/decisions/best-effort.md.
 constexpr double RackScore = 10;
 constexpr double SlownessScore = 1.0;
 constexpr double PaceScore = 2;
