--- /dev/null
+++ b/tests/platform/WorkerCalls.tests.cpp
@@ -0,0 +1,55 @@
+#include "platform/WorkerCalls.h"
+
+#include "http/Client.h"
+#include "support/LoopFakes.h"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+namespace crocuslead::platform {
+
+namespace {
+
+using tests::RawServer;
+using tests::runUntil;
+using tests::Then;
+
+//! Status that a start gets from a worker with this answer.
+jobs::OrderStatus startAnsweredBy(const std::string &Answer) {
+  asio::io_context Loop;
+  auto Client = http::makeClient(Loop, 0, 4);
+  auto Port = makeWorkerCalls(*Client);
+  RawServer Worker(Loop, {{Answer, Then::Close}});
+  std::string Url = Worker.url();
+  std::string Address = Url.substr(std::string("http://").size());
+  Address = Address.substr(0, Address.find('/'));
+  std::optional<jobs::OrderStatus> Got;
+  Port->start({"w", Address}, {},
+              [&](const jobs::OrderReply &Reply) { Got = Reply.Status_; });
+  runUntil(Loop, [&] { return Got.has_value(); });
+  return *Got;
+}
+
+std::string refusal(const std::string &Body) {
+  return "HTTP/1.1 409 Conflict\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+} // namespace
+
+TEST_CASE("A refusal's reason tells what the worker did") {
+  CHECK(startAnsweredBy(refusal(R"({"reason":"fence"})")) ==
+        jobs::OrderStatus::Fenced);
+  CHECK(startAnsweredBy(refusal(R"({"reason":"room"})")) ==
+        jobs::OrderStatus::NoRoom);
+}
+
+// Guards against calls that never end since their answer cannot be read.
+TEST_CASE("A refusal without a readable reason ends the call") {
+  for (const char *Body : {R"({"reason":7})", "{}", "[1", ""}) {
+    CAPTURE(Body);
+    CHECK(startAnsweredBy(refusal(Body)) == jobs::OrderStatus::Invalid);
+  }
+}
+
+} // namespace crocuslead::platform
