Show by size how long work waited, for what, and how it ended

Up to a fifth of the job-ended lines were dropped with the log over its budget.

Each task now accounts its time by use; a step hands the account of its last task to the steps that it releases, so a job ends with the account of the chain that determined its end. job-ended shows it and is a warning if the target was missed, which the budget does not drop. step-waiting tells while a step waits. Metrics: waits, oldest present waits, ends and times by size.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -19,7 +19,7 @@
                         const base::Clock &Clock,
                         base::MetricsRegistry &Metrics, CommitFunction OnCommit)
     : Settings_(Settings), Port_(Port), Clock_(Clock), Metrics_(Metrics),
-      Commit_(std::move(OnCommit)) {}
+      WorkMetrics_(Metrics), Commit_(std::move(OnCommit)) {}
 
 void Coordinator::Impl::tick() {
   if (Superseded_)
@@ -31,6 +31,7 @@
     updateRecovery();
     startSpeculativeCopies();
     moveThrottledRuns();
+    logLongWaits();
     for (auto &[Id, Job] : Jobs_)
       if (Job->Record_.Spec_.Repetitions_ > 0 && !isFinal(Job->State_))
         createDueOccurrences(*Job);
@@ -61,6 +62,7 @@
   Out.Runs_ = Runs_.size();
   Out.ReadySteps_ = ReadySteps_.size();
   Out.Recovering_ = Recovering_;
+  countWaitingTasks(Out.Waiting_);
   return Out;
 }
 
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -73,6 +73,18 @@
   std::size_t MaxCommitWrites_ = 29;
 };
 
+//! Tasks of one kind and size that could start and have no run.
+struct WaitingTasks {
+  std::string Kind_;
+  //! Upper bound of the size class in cores.
+  std::string Cores_;
+  std::size_t Tasks_ = 0;
+  base::Duration OldestWait_{};
+};
+
+//! One entry for each kind and size, without tasks.
+std::vector<WaitingTasks> noWaitingTasks();
+
 //! Counts for metrics and the state dump.
 struct CoordinatorStats {
   std::size_t Jobs_ = 0;
@@ -82,6 +94,7 @@
   std::size_t Runs_ = 0;
   std::size_t ReadySteps_ = 0;
   bool Recovering_ = false;
+  std::vector<WaitingTasks> Waiting_ = noWaitingTasks();
 };
 
 //! Schedules the tasks of all jobs onto the workers of the fleet, for one term.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -2,6 +2,7 @@
 
 #include "jobs/Coordinator.h"
 #include "jobs/internal/Tables.h"
+#include "jobs/internal/WorkMetrics.h"
 
 #include <deque>
 #include <unordered_map>
@@ -58,11 +59,16 @@
   void createDueOccurrences(JobEntry &Job);
   void createOccurrence(JobEntry &Job, uint32_t Number);
   void restoreProgress(JobEntry &Job, const JobProgress &Progress);
-  void releaseSteps(OccurrenceEntry &Occurrence);
+  void releaseSteps(OccurrenceEntry &Occurrence,
+                    const internal::TimeSpent &CriticalTime = {});
   void updateCompletionTarget(JobEntry &Job);
   void completeTask(JobEntry &Job, StepEntry &Step, TaskEntry &Task);
-  void completeStep(JobEntry &Job, uint32_t OccurrenceNumber);
-  void finishJob(JobEntry &Job, JobState State, const char *Reason);
+  void completeStep(JobEntry &Job, const StepEntry &Step);
+  //! CriticalTime is the time of the chain of tasks that determined the end.
+  void finishJob(JobEntry &Job, JobState State, const char *Reason,
+                 const internal::TimeSpent &CriticalTime);
+  void logJobEnd(const JobEntry &Job, const char *Reason,
+                 const internal::TimeSpent &CriticalTime);
   void markStarted(JobEntry &Job);
   TaskEntry *findTask(const TaskId &Id);
   JobEntry *findJob(const std::string &Id);
@@ -77,7 +83,8 @@
   void requestStop(RunEntry &Run, const char *Reason);
   void sendStop(RunEntry &Run);
   void onStopReply(uint64_t Serial, const RequestReply &Reply);
-  void removeRun(RunEntry &Run);
+  //! Use says what the time of the run is accounted as.
+  void removeRun(RunEntry &Run, internal::TimeUse Use);
   //! Removes a run that is over although its worker reported no end.
   void concludeUnreportedRun(RunEntry &Run, const char *Reason);
   void handleResult(WorkerEntry &Worker, const RunResult &Result);
@@ -149,6 +156,7 @@
                             const std::string &PreferredRack);
   bool fits(const StepEntry &Step, WorkerEntry &Worker) const;
   bool acceptsStarts(const WorkerEntry &Worker) const;
+  static bool hasRequiredLabel(const StepSpec &Spec, const WorkerEntry &Worker);
   bool isEligible(const StepEntry &Step, WorkerEntry &Worker) const;
   double placementScore(const StepEntry &Step, WorkerEntry &Worker,
                         const std::string &PreferredRack) const;
@@ -168,6 +176,16 @@
   bool isThrottled(const RunEntry &Run, base::TimePoint Now) const;
   void moveThrottledRuns();
 
+  // Waits.cpp: what the time of tasks is spent on.
+  void accountWait(const JobEntry &Job, TaskEntry &Task);
+  void accountRun(const RunEntry &Run, TaskEntry &Task, internal::TimeUse Use);
+  internal::TimeSpent unfinishedTime(const JobEntry &Job) const;
+  void countWaitingTasks(std::vector<WaitingTasks> &Out) const;
+  void logLongWaits();
+  void logWait(const StepEntry &Step, base::Duration Wait) const;
+  void markPollFailure(WorkerEntry &Worker);
+  void markReachable(WorkerEntry &Worker);
+
   // Commits.cpp: writes of progress to the store.
   void markDirty(JobEntry &Job);
   void commitIfDue();
@@ -178,6 +196,7 @@
   WorkerPort &Port_;
   const base::Clock &Clock_;
   base::MetricsRegistry &Metrics_;
+  internal::WorkMetrics WorkMetrics_;
   CommitFunction Commit_;
 
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> Jobs_;
@@ -212,6 +231,9 @@
 
   bool Recovering_ = false;
   base::TimePoint RecoveryDeadline_;
+  base::TimePoint RecoveryEndedAt_;
+  //! Starts of tasks with reserved CPU in this term.
+  uint64_t ReservedStarts_ = 0;
   base::TimePoint NextCheckAt_;
   base::TimePoint NextPlacementAt_;
 
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -145,7 +145,8 @@
   releaseSteps(Occurrence);
 }
 
-void Coordinator::Impl::releaseSteps(OccurrenceEntry &Occurrence) {
+void Coordinator::Impl::releaseSteps(OccurrenceEntry &Occurrence,
+                                     const internal::TimeSpent &CriticalTime) {
   for (StepEntry &Step : Occurrence.Steps_) {
     if (Step.Released_)
       continue;
@@ -154,8 +155,13 @@
         Dependencies.begin(), Dependencies.end(), [&](uint32_t Dependency) {
           return Occurrence.Steps_[Dependency].complete();
         });
-    if (Step.Released_)
-      enqueueStep(Step);
+    if (!Step.Released_)
+      continue;
+    Step.CriticalTime_ = CriticalTime;
+    Step.StartsBeforeRelease_ = ReservedStarts_;
+    for (TaskEntry &Task : Step.Tasks_)
+      Task.AccountedUntil_ = now();
+    enqueueStep(Step);
   }
 }
 
@@ -197,28 +203,33 @@
     return;
   Task.Done_ = true;
   ++Step.DoneCount_;
+  Task.Time_.add(internal::TimeUse::Run, now() - Task.AccountedUntil_);
+  Task.AccountedUntil_ = now();
   markStarted(Job);
   for (RunEntry *Copy : std::vector<RunEntry *>(Task.Runs_))
     requestStop(*Copy, "another-copy-finished");
-  if (Step.complete())
-    completeStep(Job, Step.Occurrence_);
+  if (!Step.complete())
+    return;
+  Step.CriticalTime_ += Task.Time_;
+  completeStep(Job, Step);
 }
 
-void Coordinator::Impl::completeStep(JobEntry &Job, uint32_t OccurrenceNumber) {
-  OccurrenceEntry &Occurrence = Job.Occurrences_.at(OccurrenceNumber);
+void Coordinator::Impl::completeStep(JobEntry &Job, const StepEntry &Step) {
+  OccurrenceEntry &Occurrence = Job.Occurrences_.at(Step.Occurrence_);
   ++Occurrence.StepsDone_;
   if (Occurrence.StepsDone_ < Occurrence.Steps_.size()) {
-    releaseSteps(Occurrence);
+    releaseSteps(Occurrence, Step.CriticalTime_);
     return;
   }
   ++Job.OccurrencesDone_;
   if (Job.OccurrencesDone_ >=
       std::max<uint32_t>(1, Job.Record_.Spec_.Repetitions_))
-    finishJob(Job, JobState::Completed, "all-tasks-done");
+    finishJob(Job, JobState::Completed, "all-tasks-done", Step.CriticalTime_);
 }
 
 void Coordinator::Impl::finishJob(JobEntry &Job, JobState State,
-                                  const char *Reason) {
+                                  const char *Reason,
+                                  const internal::TimeSpent &CriticalTime) {
   if (isFinal(Job.State_))
     return;
   Job.State_ = State;
@@ -236,20 +247,53 @@
       .counter("crocuslead_jobs_ended_total", "Jobs by final state.",
                {{"state", std::string(jobStateName(State))}})
       .add();
-  base::logEvent(
-      base::LogLevel::Info, "job-ended",
-      {{"job", Job.Id_},
-       {"state", jobStateName(State)},
-       {"reason", Reason},
-       {"age_ms", (Job.FinishedWallTime_ - Job.Record_.AcceptedAt_).count()},
-       {"late_ms", base::toMillis(now() - Job.CompletionTarget_)}});
+  logJobEnd(Job, Reason, CriticalTime);
   CommitUrgent_ = true;
   markDirty(Job);
 }
 
+void Coordinator::Impl::logJobEnd(const JobEntry &Job, const char *Reason,
+                                  const internal::TimeSpent &CriticalTime) {
+  using internal::TimeUse;
+  const JobSpec &Spec = Job.Record_.Spec_;
+  base::Duration Age = Job.FinishedWallTime_ - Job.Record_.AcceptedAt_;
+  base::Duration Lateness = now() - Job.CompletionTarget_;
+  WorkMetrics_.recordEnd(Spec, {Job.State_, Age, Age - Lateness, CriticalTime});
+  int64_t Tasks = 0;
+  int64_t LargestTask = 0;
+  for (const StepSpec &Step : Spec.Steps_) {
+    Tasks += Step.Count_;
+    LargestTask = std::max(LargestTask, Step.Request_.MilliCpu_);
+  }
+  auto Spent = [&](TimeUse Use) {
+    return base::toMillis(CriticalTime.of(Use));
+  };
+  // A late end must not be left out when the log is over its budget.
+  bool IsMiss = Job.State_ == JobState::Failed ||
+                (Job.State_ == JobState::Completed && Lateness.count() > 0);
+  base::logEvent(IsMiss ? base::LogLevel::Warn : base::LogLevel::Info,
+                 "job-ended",
+                 {{"job", Job.Id_},
+                  {"queue", Job.Record_.Queue_},
+                  {"state", jobStateName(Job.State_)},
+                  {"reason", Reason},
+                  {"age_ms", base::toMillis(Age)},
+                  {"late_ms", base::toMillis(Lateness)},
+                  {"tasks", Tasks},
+                  {"largest_task_mcpu", LargestTask},
+                  {"core_seconds", internal::declaredWork(Spec)},
+                  {"capacity_ms", Spent(TimeUse::Capacity)},
+                  {"recovery_ms", Spent(TimeUse::Recovery)},
+                  {"lost_worker_ms", Spent(TimeUse::LostWorker)},
+                  {"failed_run_ms", Spent(TimeUse::FailedRun)},
+                  {"stopped_run_ms", Spent(TimeUse::StoppedRun)},
+                  {"run_ms", Spent(TimeUse::Run)}});
+}
+
 void Coordinator::Impl::cancelJob(const std::string &Id) {
   if (JobEntry *Job = findJob(Id))
-    finishJob(*Job, JobState::Cancelled, "cancelled-by-caller");
+    finishJob(*Job, JobState::Cancelled, "cancelled-by-caller",
+              unfinishedTime(*Job));
 }
 
 std::optional<JobState> Coordinator::Impl::state(const std::string &Id) const {
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -71,14 +71,20 @@
          DomainsOut_.count(Worker.Info_.Domain_) == 0;
 }
 
+bool Coordinator::Impl::hasRequiredLabel(const StepSpec &Spec,
+                                         const WorkerEntry &Worker) {
+  const std::vector<std::string> &Labels = Worker.Info_.Labels_;
+  return Spec.RequiredLabel_.empty() ||
+         std::find(Labels.begin(), Labels.end(), Spec.RequiredLabel_) !=
+             Labels.end();
+}
+
 bool Coordinator::Impl::isEligible(const StepEntry &Step,
                                    WorkerEntry &Worker) const {
   const StepSpec &Spec = *Step.Spec_;
   if (!acceptsStarts(Worker))
     return false;
-  if (!Spec.RequiredLabel_.empty() &&
-      std::find(Worker.Info_.Labels_.begin(), Worker.Info_.Labels_.end(),
-                Spec.RequiredLabel_) == Worker.Info_.Labels_.end())
+  if (!hasRequiredLabel(Spec, Worker))
     return false;
   if (Spec.MaxPerWorker_ > 0) {
     auto RunsHere =
@@ -237,7 +243,7 @@
     Reservations.push_back(&addRun(Step, Task, *Worker, Number));
   }
   for (RunEntry *Run : Reservations)
-    removeRun(*Run);
+    removeRun(*Run, internal::TimeUse::Capacity);
   if (Assignments.size() < Step.Tasks_.size())
     return false;
   // All members of a gang resume from the same checkpoint.
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -99,7 +99,7 @@
 
 void Coordinator::Impl::onPollFailure(WorkerEntry &Worker,
                                       RequestStatus Status) {
-  ++Worker.PollFailures_;
+  markPollFailure(Worker);
   if (Worker.PollFailures_ == WorkerEntry::UnreachablePollFailures)
     base::logEvent(
         base::LogLevel::Warn, "worker-unreachable",
@@ -118,7 +118,7 @@
   if (Worker.PollFailures_ >= WorkerEntry::UnreachablePollFailures)
     base::logEvent(base::LogLevel::Info, "worker-reachable",
                    {{"worker", Worker.Info_.Id_}});
-  Worker.PollFailures_ = 0;
+  markReachable(Worker);
   if (!Worker.Polled_) {
     Worker.Polled_ = true;
     PlacementRequested_ = true;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -24,6 +24,19 @@
   return Names[static_cast<int>(Outcome)];
 }
 
+internal::TimeUse timeUse(RunOutcome Outcome) {
+  switch (Outcome) {
+  case RunOutcome::Done:
+    return internal::TimeUse::Run;
+  case RunOutcome::Failed:
+    return internal::TimeUse::FailedRun;
+  case RunOutcome::LeaseExpired:
+    return internal::TimeUse::LostWorker;
+  default:
+    return internal::TimeUse::StoppedRun;
+  }
+}
+
 } // namespace
 
 Coordinator::Impl::RunEntry *Coordinator::Impl::findRun(uint64_t Serial) {
@@ -56,6 +69,8 @@
   Run.PhaseSince_ = Run.StartedAt_ = Run.LastProgressAt_ = now();
   Run.Checkpoint_ = Task.Checkpoint_;
   Run.Resumed_ = !Task.Checkpoint_.empty();
+  if (Task.Runs_.empty())
+    accountWait(*Step.Job_, Task);
   const StepSpec &Spec = *Step.Spec_;
   base::Resources Reserve = Spec.Request_;
   if (Spec.BestEffort_) {
@@ -74,8 +89,9 @@
   return Run;
 }
 
-void Coordinator::Impl::removeRun(RunEntry &Run) {
+void Coordinator::Impl::removeRun(RunEntry &Run, internal::TimeUse Use) {
   WorkerEntry &Worker = *Run.Worker_;
+  TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
   const StepSpec &Spec = *Run.Step_->Spec_;
   base::Resources Reserve = Spec.Request_;
   if (Spec.BestEffort_) {
@@ -92,7 +108,9 @@
     From.erase(std::remove(From.begin(), From.end(), &Run), From.end());
   };
   Remove(Worker.Runs_);
-  Remove(Run.Step_->Tasks_[Run.Position_.Index_].Runs_);
+  Remove(Task.Runs_);
+  if (Task.Runs_.empty())
+    accountRun(Run, Task, Use);
   enqueueStep(*Run.Step_);
   PlacementRequested_ = true;
   Runs_.erase(Run.Serial_);
@@ -100,6 +118,10 @@
 
 void Coordinator::Impl::startRun(StepEntry &Step, TaskEntry &Task,
                                  WorkerEntry &Worker, uint64_t Number) {
+  if (Task.Runs_.empty())
+    WorkMetrics_.recordWait(*Step.Spec_, now() - Task.AccountedUntil_);
+  if (!Step.Spec_->BestEffort_)
+    ++ReservedStarts_;
   RunEntry &Run = addRun(Step, Task, Worker, Number);
   markStarted(*Step.Job_);
   StartRequest Request;
@@ -141,7 +163,7 @@
       Run->Phase_ = RunPhase::Running;
       Run->PhaseSince_ = Run->StartedAt_ = Run->LastProgressAt_ = now();
     }
-    Worker.PollFailures_ = 0;
+    markReachable(Worker);
     if (Run->Step_->Spec_->BestEffort_)
       throttleBestEffort(Worker);
     return;
@@ -168,8 +190,8 @@
   default:
     Worker.AvoidUntil_ = std::max(Worker.AvoidUntil_, now() + RefusalAvoidance);
     if (Reply.Status_ == RequestStatus::NotSent)
-      ++Worker.PollFailures_;
-    removeRun(*Run);
+      markPollFailure(Worker);
+    removeRun(*Run, internal::TimeUse::LostWorker);
   }
 }
 
@@ -243,7 +265,7 @@
                   {"run", Run.Number_},
                   {"worker", Run.Worker_->Info_.Id_},
                   {"reason", Reason}});
-  removeRun(Run);
+  removeRun(Run, internal::TimeUse::LostWorker);
 }
 
 void Coordinator::Impl::recordOutcome(WorkerEntry &Worker, RunEntry *Run,
@@ -298,7 +320,7 @@
       Task.Checkpoint_ = Result.Checkpoint_;
     else if (!Run->Checkpoint_.empty())
       Task.Checkpoint_ = Run->Checkpoint_;
-    removeRun(*Run);
+    removeRun(*Run, timeUse(Result.Outcome_));
   }
   if (Step == nullptr || isFinal(Job->State_))
     return;
@@ -333,7 +355,7 @@
   const QueueConfig *Queue = queueConfig(Job);
   markDirty(Job);
   if (Queue != nullptr && Failed.size() >= Queue->MaxAttempts_)
-    finishJob(Job, JobState::Failed, "attempts-used-up");
+    finishJob(Job, JobState::Failed, "attempts-used-up", unfinishedTime(Job));
 }
 
 } // namespace crocuslead::jobs
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -4,6 +4,7 @@
 #include "jobs/JobRecord.h"
 #include "jobs/WorkerPort.h"
 #include "jobs/internal/PressureModel.h"
+#include "jobs/internal/TimeSpent.h"
 
 #include <deque>
 #include <map>
@@ -77,6 +78,8 @@
   bool Adopted_ = false;
   //! Started from a checkpoint.
   bool Resumed_ = false;
+  //! Time of earlier periods in which its worker did not answer.
+  base::Duration OutOfReach_{};
 };
 
 struct TaskEntry {
@@ -92,6 +95,10 @@
   //! Worker of the last run that failed, stalled, straggled or was throttled;
   //! placement avoids it.
   std::string AvoidedWorker_;
+  //! What its time was spent on, up to AccountedUntil_. Without runs, it has
+  //! waited for a start since then.
+  TimeSpent Time_;
+  base::TimePoint AccountedUntil_;
 };
 
 struct StepEntry {
@@ -107,6 +114,13 @@
   //! Mean of RunSamples_ completed run times; predicts those of the others.
   double MeanRunSeconds_ = 0;
   uint32_t RunSamples_ = 0;
+  //! Time of the chain of steps and tasks that determined its release or, once
+  //! it is complete, its end.
+  TimeSpent CriticalTime_;
+  //! Starts of tasks with reserved CPU before its release.
+  uint64_t StartsBeforeRelease_ = 0;
+  //! When a continuing wait of its tasks is logged next.
+  base::TimePoint NextWaitLogAt_;
 
   bool complete() const { return DoneCount_ == Tasks_.size(); }
 };
@@ -179,6 +193,8 @@
   base::TimePoint PollSentAt_;
   base::TimePoint NextPollAt_;
   int PollFailures_ = 0;
+  //! Time of the first of the consecutive failures.
+  std::optional<base::TimePoint> FailingSince_;
   //! Highest sequence number of a processed result.
   uint64_t LastResultSequence_ = 0;
   //! Results up to this sequence number may be acknowledged.
--- /dev/null
+++ b/src/jobs/internal/Waits.cpp
@@ -0,0 +1,173 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+using internal::TimeUse;
+
+// A step whose tasks wait for this long is logged, again each time the wait has
+// doubled.
+constexpr auto LongWait = std::chrono::seconds(1);
+// Limits the lines of one check, which visits all workers for each of them.
+constexpr int MaxWaitsPerCheck = 2;
+
+} // namespace
+
+std::vector<WaitingTasks> noWaitingTasks() {
+  std::vector<WaitingTasks> Out;
+  for (const auto &[Kind, KindName] : internal::WorkKindNames.rows())
+    for (std::string_view Size : internal::TaskSizeNames)
+      Out.push_back({std::string(KindName), std::string(Size), 0, {}});
+  return Out;
+}
+
+void Coordinator::Impl::countWaitingTasks(
+    std::vector<WaitingTasks> &Out) const {
+  for (const auto &[Key, Step] : ReadySteps_) {
+    std::size_t Kind =
+        static_cast<std::size_t>(internal::workKind(*Step->Spec_));
+    WaitingTasks &Class = Out[Kind * internal::TaskSizeNames.size() +
+                              internal::taskSizeClass(*Step->Spec_)];
+    for (const TaskEntry &Task : Step->Tasks_) {
+      if (Task.Done_ || !Task.Runs_.empty())
+        continue;
+      ++Class.Tasks_;
+      Class.OldestWait_ =
+          std::max(Class.OldestWait_, now() - Task.AccountedUntil_);
+    }
+  }
+}
+
+void Coordinator::Impl::accountWait(const JobEntry &Job, TaskEntry &Task) {
+  base::TimePoint Now = now();
+  if (Job.Restored_) {
+    base::TimePoint End = Recovering_ ? Now : RecoveryEndedAt_;
+    if (End > Task.AccountedUntil_) {
+      Task.Time_.add(TimeUse::Recovery, End - Task.AccountedUntil_);
+      Task.AccountedUntil_ = End;
+    }
+  }
+  Task.Time_.add(TimeUse::Capacity, Now - Task.AccountedUntil_);
+  Task.AccountedUntil_ = Now;
+}
+
+void Coordinator::Impl::accountRun(const RunEntry &Run, TaskEntry &Task,
+                                   TimeUse Use) {
+  base::TimePoint Now = now();
+  base::Duration Time = Now - Task.AccountedUntil_;
+  base::Duration OutOfReach = Run.OutOfReach_;
+  if (Run.Worker_->FailingSince_)
+    OutOfReach += Now - std::max(*Run.Worker_->FailingSince_, Run.StartedAt_);
+  OutOfReach = std::min(OutOfReach, Time);
+  Task.Time_.add(TimeUse::LostWorker, OutOfReach);
+  Task.Time_.add(Use, Time - OutOfReach);
+  Task.AccountedUntil_ = Now;
+}
+
+void Coordinator::Impl::markPollFailure(WorkerEntry &Worker) {
+  ++Worker.PollFailures_;
+  if (!Worker.FailingSince_)
+    Worker.FailingSince_ = now();
+}
+
+void Coordinator::Impl::markReachable(WorkerEntry &Worker) {
+  Worker.PollFailures_ = 0;
+  if (!Worker.FailingSince_)
+    return;
+  for (RunEntry *Run : Worker.Runs_)
+    Run->OutOfReach_ +=
+        now() - std::max(*Worker.FailingSince_, Run->StartedAt_);
+  Worker.FailingSince_.reset();
+}
+
+// The longest chain of a job that has not completed ends in a task that waits
+// or runs.
+internal::TimeSpent
+Coordinator::Impl::unfinishedTime(const JobEntry &Job) const {
+  internal::TimeSpent Longest;
+  for (const auto &[Number, Occurrence] : Job.Occurrences_)
+    for (const StepEntry &Step : Occurrence.Steps_) {
+      if (!Step.Released_ || Step.complete())
+        continue;
+      for (const TaskEntry &Task : Step.Tasks_) {
+        if (Task.Done_)
+          continue;
+        internal::TimeSpent Time = Step.CriticalTime_;
+        Time += Task.Time_;
+        Time.add(Task.Runs_.empty() ? TimeUse::Capacity : TimeUse::Run,
+                 now() - Task.AccountedUntil_);
+        if (Time.total() > Longest.total())
+          Longest = Time;
+      }
+    }
+  return Longest;
+}
+
+void Coordinator::Impl::logLongWaits() {
+  if (Recovering_)
+    return;
+  base::TimePoint Now = now();
+  int Logged = 0;
+  for (auto &[Key, Step] : ReadySteps_) {
+    if (Now < Step->NextWaitLogAt_)
+      continue;
+    base::Duration Wait{};
+    for (const TaskEntry &Task : Step->Tasks_)
+      if (!Task.Done_ && Task.Runs_.empty())
+        Wait = std::max(Wait, Now - Task.AccountedUntil_);
+    Step->NextWaitLogAt_ =
+        Now + std::max<base::Duration>(Wait, LongWait - Wait);
+    if (Wait < LongWait)
+      continue;
+    logWait(*Step, Wait);
+    if (++Logged >= MaxWaitsPerCheck)
+      return;
+  }
+}
+
+void Coordinator::Impl::logWait(const StepEntry &Step,
+                                base::Duration Wait) const {
+  const StepSpec &Spec = *Step.Spec_;
+  const QueueConfig *Queue = queueConfig(*Step.Job_);
+  int64_t ReservedMilliCpu = Spec.BestEffort_ ? 0 : Spec.Request_.MilliCpu_;
+  int64_t Suitable = 0;
+  int64_t WithoutCpu = 0;
+  int64_t WithoutMemory = 0;
+  int64_t LargestFreeMilliCpu = 0;
+  for (const WorkerEntry *Worker : WorkerOrder_) {
+    if (Queue == nullptr || Worker->Info_.Service_ != Queue->Service_ ||
+        !acceptsStarts(*Worker) || !hasRequiredLabel(Spec, *Worker))
+      continue;
+    ++Suitable;
+    base::Resources Free = Worker->Info_.Capacity_ - Worker->Reserved_;
+    WithoutCpu += Free.MilliCpu_ < ReservedMilliCpu ? 1 : 0;
+    WithoutMemory += Free.MemoryMb_ < Spec.Request_.MemoryMb_ ? 1 : 0;
+    LargestFreeMilliCpu = std::max(LargestFreeMilliCpu, Free.MilliCpu_);
+  }
+  int64_t Pending = std::count_if(
+      Step.Tasks_.begin(), Step.Tasks_.end(),
+      [](const TaskEntry &Task) { return !Task.Done_ && Task.Runs_.empty(); });
+  base::logEvent(
+      base::LogLevel::Info, "step-waiting",
+      {{"job", Step.Job_->Id_},
+       {"queue", Step.Job_->Record_.Queue_},
+       {"step", static_cast<int64_t>(Step.Number_)},
+       {"kind", internal::WorkKindNames.name(internal::workKind(Spec))},
+       {"waited_ms", base::toMillis(Wait)},
+       {"pending_tasks", Pending},
+       {"task_mcpu", Spec.Request_.MilliCpu_},
+       {"task_memory_mb", Spec.Request_.MemoryMb_},
+       {"late_ms", base::toMillis(now() - Step.Job_->CompletionTarget_)},
+       {"starts_meanwhile", ReservedStarts_ - Step.StartsBeforeRelease_},
+       {"suitable_workers", Suitable},
+       {"without_cpu", WithoutCpu},
+       {"without_memory", WithoutMemory},
+       {"largest_free_mcpu", LargestFreeMilliCpu}});
+}
+
+} // namespace crocuslead::jobs
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -165,6 +165,7 @@
 
 void Coordinator::Impl::endRecovery(const char *Reason) {
   Recovering_ = false;
+  RecoveryEndedAt_ = now();
   PlacementRequested_ = true;
   base::logEvent(base::LogLevel::Info, "recovery-finished",
                  {{"reason", Reason},
@@ -259,7 +260,7 @@
       continue;
     Unconfirmed.push_back(
         {Run->Step_, &Run->Step_->Tasks_[Run->Position_.Index_], Run->Number_});
-    removeRun(*Run);
+    removeRun(*Run, internal::TimeUse::LostWorker);
   }
   bool Registered = Worker.Registered_;
   Worker.Registered_ = false;
