--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr auto StepTime = std::chrono::milliseconds(10);
-constexpr const char *Queue = "visits";
+constexpr const char *DefaultQueue = "visits";
 
 template <typename T> T valueOf(base::Result<T> Result) {
   if (!Result)
@@ -36,12 +36,12 @@
 
 JobWorld::JobWorld(uint64_t Seed) : Random_(Seed) {
   QueueConfig Visits;
-  Visits.Name_ = Queue;
+  Visits.Name_ = DefaultQueue;
   Visits.Service_ = "desk";
   Visits.MaxAttempts_ = 3;
   Visits.TargetOffset_ = std::chrono::milliseconds(600);
   Visits.TargetFactor_ = 1.5;
-  Config_.Queues_[Queue] = Visits;
+  Config_.Queues_[DefaultQueue] = Visits;
 }
 
 JobWorld::~JobWorld() = default;
@@ -125,7 +125,8 @@
   Worker.Info_.StartTimeMs_ = Clock_.wallNow().time_since_epoch().count();
 }
 
-void JobWorld::submit(const std::string &Id, JobSpec Spec) {
+void JobWorld::submit(const std::string &Id, JobSpec Spec,
+                      const std::string &Queue) {
   JobRecord Record{Queue, std::move(Spec), Clock_.wallNow()};
   Jobs_[Id] = Record;
   if (Coordinator_)
@@ -235,6 +236,7 @@
     }
     for (const auto &[Name, Outcome] : Ends)
       endRun(Worker, Name, Outcome);
+    answerPolls(Worker, !Ends.empty());
     if (now() >= Worker.LeaseEnd_ && !Worker.LeaseExpired_) {
       Worker.LeaseExpired_ = true;
       forgetUnacknowledgedResults(Worker);
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -47,6 +47,9 @@
   bool DropsReplies_ = false;
   bool FailsAllRuns_ = false;
   bool StallsRuns_ = false;
+  //! Polls that wait for a run to end, with the time at which each is answered
+  //! in any case.
+  std::vector<std::pair<base::TimePoint, std::function<void()>>> WaitingPolls_;
   //! Tail latency that the worker reports for its serving tasks.
   double TailLatencyMs_ = 10;
 };
@@ -81,7 +84,8 @@
   void restartWorkerUnregistered(const std::string &Id);
   //! Publishes a registry entry of an earlier incarnation.
   void publishStaleEntry(const std::string &Id);
-  void submit(const std::string &Id, JobSpec Spec);
+  void submit(const std::string &Id, JobSpec Spec,
+              const std::string &Queue = "visits");
   void cancel(const std::string &Id);
   //! Removes the coordinator without a handover.
   void crashCoordinator() { Coordinator_.reset(); }
@@ -127,6 +131,12 @@
   //! Time that a worker takes to stop a task.
   base::Duration StopTime_{};
   base::Duration RunDuration_ = std::chrono::milliseconds(600);
+  //! Failed runs of a task after which its job fails.
+  int MaxAttempts_ = 3;
+  //! If set, decides on the run time of each run and on whether it fails.
+  std::function<std::pair<base::Duration, bool>(const TaskId &)> RunPlan_;
+  //! Longest wait of a poll for a run to end.
+  base::Duration MaxPollWait_ = std::chrono::milliseconds(50);
 
 private:
   //! One-way network delay between the coordinator, the store and the workers.
@@ -134,9 +144,14 @@
 
   void schedule(base::Duration Delay, std::function<void()> Action);
   void advanceWorkers();
+  //! Answers polls whose wait is over, or all of them.
+  void answerPolls(FakeWorker &Worker, bool All);
   void forgetUnacknowledgedResults(const FakeWorker &Worker);
   void endRun(FakeWorker &Worker, const std::string &Name, RunOutcome Outcome);
   RequestStatus executeStart(FakeWorker &Worker, const StartRequest &Request);
+  static void renewLease(FakeWorker &Worker, const PollRequest &Request);
+  RequestStatus executePoll(FakeWorker &Worker, const PollRequest &Request,
+                            WorkerReport &Report);
   int64_t workerClockMs(const FakeWorker &Worker) const;
   int percent(const FakeRun &Run) const;
   void deliver(const std::string &Id, RequestCallback Done,
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -8,6 +8,13 @@
 
 constexpr auto CallTimeout = std::chrono::milliseconds(700);
 
+base::Resources reservation(const StepSpec &Spec) {
+  base::Resources Out = Spec.Request_;
+  if (Spec.BestEffort_)
+    Out.MilliCpu_ = 0;
+  return Out;
+}
+
 } // namespace
 
 RequestStatus JobWorld::executeStart(FakeWorker &Worker,
@@ -36,7 +43,7 @@
                     *Oracle_.RunningOn_[Name].begin());
   if (!Spec.LongRunning_ && Oracle_.Done_.count(Name) > 0 && !Spec.Speculative_)
     recordViolation(Name + " starts after it was done");
-  if (!Spec.LongRunning_ && Oracle_.Failures_[Name] >= 3)
+  if (!Spec.LongRunning_ && Oracle_.Failures_[Name] >= MaxAttempts_)
     recordViolation(Name + " starts after its attempts were used up");
   for (uint32_t Dependency : Spec.Dependencies_)
     for (uint32_t I = 0;
@@ -46,20 +53,25 @@
                {Request.Task_.Position_.Occurrence_, Dependency, I}})) == 0)
         recordViolation(Name + " starts before step " +
                         std::to_string(Dependency));
-  int64_t Reserved = Spec.BestEffort_ ? 0 : Spec.Request_.MilliCpu_;
-  for (const auto &[Other, OtherRun] : Worker.Runs_) {
-    const StepSpec &Running =
-        Jobs_.at(OtherRun.Task_.Job_)
-            .Spec_.Steps_.at(OtherRun.Task_.Position_.Step_);
-    Reserved += Running.BestEffort_ ? 0 : Running.Request_.MilliCpu_;
-  }
-  if (Reserved > Worker.Info_.Capacity_.MilliCpu_)
-    recordViolation(Worker.Info_.Id_ +
-                    " has more CPU reserved than its capacity");
+  base::Resources Reserved = reservation(Spec);
+  for (const auto &[Other, OtherRun] : Worker.Runs_)
+    Reserved +=
+        reservation(Jobs_.at(OtherRun.Task_.Job_)
+                        .Spec_.Steps_.at(OtherRun.Task_.Position_.Step_));
+  if (!Reserved.fitsIn(Worker.Info_.Capacity_))
+    recordViolation(Worker.Info_.Id_ + " has more reserved than its capacity");
+  auto [RunTime, Fails] =
+      RunPlan_ ? RunPlan_(Request.Task_) : std::make_pair(RunDuration_, false);
   FakeRun &Run = Worker.Runs_[Name];
-  Run = {Request.Task_,      Request.Run_, now(),
-         RunDuration_,       {},           Worker.FailsAllRuns_,
-         Worker.StallsRuns_, std::nullopt, 100};
+  Run = {Request.Task_,
+         Request.Run_,
+         now(),
+         RunTime,
+         {},
+         Fails || Worker.FailsAllRuns_,
+         Worker.StallsRuns_,
+         std::nullopt,
+         100};
   if (Spec.LongRunning_)
     Run.RunTime_ = {};
   Oracle_.RunningOn_[Name].insert(Worker.Info_.Id_);
@@ -140,49 +152,78 @@
 
 void JobWorld::poll(const WorkerAddress &To, const PollRequest &Request,
                     PollCallback Done) {
-  // Simulates the long poll by a wait of fixed maximum length.
-  base::Duration Wait =
-      std::min<base::Duration>(Request.Wait_, std::chrono::milliseconds(50));
   auto Report = std::make_shared<WorkerReport>();
   std::string Id = To.Id_;
-  schedule(Wait, [=] {
+  auto Answer = [=] {
     deliver(
         Id,
         [Done, Report](const RequestReply &Reply) {
           Done({Reply.Status_, *Report});
         },
         [this, Request, Report](FakeWorker &Worker) {
-          if (Request.FencingToken_ < Worker.FencingToken_)
-            return RequestStatus::Fenced;
-          Worker.FencingToken_ = Request.FencingToken_;
-          if (Request.LeaseUntilMs_)
-            Worker.LeaseEnd_ =
-                std::max(Worker.LeaseEnd_,
-                         Worker.StartedAt_ +
-                             std::chrono::milliseconds(*Request.LeaseUntilMs_));
-          Worker.Ended_.erase(
-              std::remove_if(Worker.Ended_.begin(), Worker.Ended_.end(),
-                             [&](const RunResult &Result) {
-                               return Result.SequenceNumber_ <=
-                                      Request.AcknowledgedSequence_;
-                             }),
-              Worker.Ended_.end());
-          Report->ClockMs_ = workerClockMs(Worker);
-          Report->StartTimeMs_ = Worker.Info_.StartTimeMs_;
-          Report->Ended_ = Worker.Ended_;
-          for (const auto &[Name, Run] : Worker.Runs_) {
-            const StepSpec &Spec =
-                Jobs_.at(Run.Task_.Job_)
-                    .Spec_.Steps_.at(Run.Task_.Position_.Step_);
-            double Load = Spec.TailLatencyTarget_.count() > 0
-                              ? Worker.TailLatencyMs_
-                              : static_cast<double>(Spec.Request_.MilliCpu_);
-            Report->Running_.push_back(
-                {Run.Task_, Run.Number_, "", percent(Run), Load});
-          }
-          return RequestStatus::Accepted;
+          return executePoll(Worker, Request, *Report);
         });
+  };
+  base::Duration Wait = std::min(Request.Wait_, MaxPollWait_);
+  if (Wait.count() == 0) {
+    Answer();
+    return;
+  }
+  Workers_.at(Id).WaitingPolls_.emplace_back(now() + Wait, Answer);
+  // The lease is renewed when the poll arrives, not when it is answered.
+  schedule(OneWayDelay, [this, Id, Request] {
+    FakeWorker &Worker = Workers_.at(Id);
+    if (!Worker.DropsRequests_ && Request.FencingToken_ >= Worker.FencingToken_)
+      renewLease(Worker, Request);
   });
 }
 
+void JobWorld::renewLease(FakeWorker &Worker, const PollRequest &Request) {
+  if (!Request.LeaseUntilMs_)
+    return;
+  auto End =
+      Worker.StartedAt_ + std::chrono::milliseconds(*Request.LeaseUntilMs_);
+  Worker.LeaseEnd_ = std::max(Worker.LeaseEnd_, End);
+}
+
+void JobWorld::answerPolls(FakeWorker &Worker, bool All) {
+  auto &Polls = Worker.WaitingPolls_;
+  for (std::size_t I = 0; I < Polls.size();) {
+    if (!All && now() < Polls[I].first) {
+      ++I;
+      continue;
+    }
+    auto Answer = std::move(Polls[I].second);
+    Polls.erase(Polls.begin() + static_cast<std::ptrdiff_t>(I));
+    Answer();
+  }
+}
+
+RequestStatus JobWorld::executePoll(FakeWorker &Worker,
+                                    const PollRequest &Request,
+                                    WorkerReport &Report) {
+  if (Request.FencingToken_ < Worker.FencingToken_)
+    return RequestStatus::Fenced;
+  Worker.FencingToken_ = Request.FencingToken_;
+  renewLease(Worker, Request);
+  Worker.Ended_.erase(std::remove_if(Worker.Ended_.begin(), Worker.Ended_.end(),
+                                     [&](const RunResult &Result) {
+                                       return Result.SequenceNumber_ <=
+                                              Request.AcknowledgedSequence_;
+                                     }),
+                      Worker.Ended_.end());
+  Report.ClockMs_ = workerClockMs(Worker);
+  Report.StartTimeMs_ = Worker.Info_.StartTimeMs_;
+  Report.Ended_ = Worker.Ended_;
+  for (const auto &[Name, Run] : Worker.Runs_) {
+    const StepSpec &Spec =
+        Jobs_.at(Run.Task_.Job_).Spec_.Steps_.at(Run.Task_.Position_.Step_);
+    double Load = Spec.TailLatencyTarget_.count() > 0
+                      ? Worker.TailLatencyMs_
+                      : static_cast<double>(Spec.Request_.MilliCpu_);
+    Report.Running_.push_back({Run.Task_, Run.Number_, "", percent(Run), Load});
+  }
+  return RequestStatus::Accepted;
+}
+
 } // namespace crocuslead::jobs::test
--- /dev/null
+++ b/tests/jobs/Reservations.tests.cpp
@@ -0,0 +1,92 @@
+#include "jobs/JobWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+//! Sixteen workers that a stream of short small tasks keeps full.
+struct BusyFleet {
+  JobWorld World_;
+  int Submitted_ = 0;
+  explicit BusyFleet(int Workers = 16) {
+    for (int I = 0; I < Workers; ++I)
+      World_.addWorker("w" + std::to_string(I));
+    World_.RunPlan_ = [this](const TaskId &Task) {
+      auto Declared = World_.Jobs_.at(Task.Job_)
+                          .Spec_.Steps_[Task.Position_.Step_]
+                          .EstimatedDuration_;
+      return std::make_pair(std::chrono::duration_cast<base::Duration>(
+                                Declared * (0.8 + 0.4 * World_.Random_.unit())),
+                            false);
+    };
+    World_.startSuccessor();
+    World_.run(milliseconds(200));
+  }
+  //! Submits 140 tasks of 3 cores and 600 ms a second; the fleet can run 133.
+  void run(base::Duration Time) {
+    base::TimePoint End = World_.now() + Time;
+    while (World_.now() < End) {
+      World_.submit("s" + std::to_string(Submitted_++), chainJob(1, 7, 3'000));
+      World_.run(milliseconds(50));
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(
+    BusyFleet, "Large tasks do not starve while smaller tasks take each gap" *
+                   doctest::may_fail()) {
+  run(seconds(3));
+  World_.submit("large", chainJob(1, 2, 12'000));
+  run(seconds(3));
+  CHECK(World_.state("large") == JobState::Completed);
+}
+
+TEST_CASE_FIXTURE(
+    BusyFleet, "Large tasks do not starve when the coordinator was replaced" *
+                   doctest::may_fail()) {
+  run(seconds(3));
+  World_.submit("large", chainJob(1, 2, 12'000));
+  run(milliseconds(200));
+  World_.startSuccessor();
+  run(seconds(3));
+  CHECK(World_.state("large") == JobState::Completed);
+  for (const std::string &Violation : World_.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
+TEST_CASE_FIXTURE(BusyFleet,
+                  "A gang does not starve while single tasks take each gap" *
+                      doctest::may_fail()) {
+  run(seconds(3));
+  JobSpec Gang = chainJob(1, 2, 12'000);
+  Gang.Steps_[0].Gang_ = true;
+  World_.submit("gang", Gang);
+  run(seconds(4));
+  CHECK(World_.state("gang") == JobState::Completed);
+}
+
+// The first worker runs a long task, so 12 cores are free only after it.
+TEST_CASE("Short tasks use a worker until the reserved capacity is complete") {
+  BusyFleet Fleet(1);
+  JobSpec Long = chainJob(1, 1, 8'000);
+  Long.Steps_[0].EstimatedDuration_ = seconds(5);
+  Fleet.World_.submit("long", Long);
+  Fleet.World_.run(milliseconds(200));
+  Fleet.World_.submit("large", chainJob(1, 1, 12'000));
+  Fleet.World_.run(milliseconds(200));
+  Fleet.World_.submit("short", chainJob(1, 2, 3'000));
+  Fleet.World_.run(milliseconds(1'200));
+  CHECK(Fleet.World_.state("short") == JobState::Completed);
+  CHECK(Fleet.World_.startsOf("large.0.0.0") == 0);
+  Fleet.World_.run(seconds(5));
+  CHECK(Fleet.World_.startsOf("large.0.0.0") == 1);
+}
+
+} // namespace crocuslead::jobs::test
