Check the attempts of speculative tasks as the platform's rule allows

Trace: a speculative step; the fourth failure was listed by a worker out of reach when another copy started. For such steps the platform allows a start until a second after the last failure was taken note of, which the simulation did not model. It now counts acknowledged failures of these tasks, and a start later than that second is a violation; the check of all other tasks is unchanged.

--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -64,7 +64,14 @@
   std::set<std::string> Done_;
   std::set<std::string> EverDone_;
   std::map<std::string, int> Failures_;
+  //! Failures that a coordinator acknowledged, and the time of the last.
+  std::map<std::string, std::pair<int, base::TimePoint>> AcknowledgedFailures_;
   std::map<std::string, int> Starts_;
+
+  //! Copies of a task may start until 1 s after its last failure was
+  //! acknowledged: failures of the others may not be known before.
+  bool mayStartCopy(const std::string &Task, int MaxAttempts,
+                    base::TimePoint Now) const;
 };
 
 //! Simulates workers, the store and successive coordinators on a manual clock.
