End the waiting polls of a simulated worker with its incarnation

Trace: w0 restarted while a poll waited on it; the simulation answered that poll by the next incarnation and took its lease by the clock of the earlier one, 13.9 s instead of the 10 s that a worker grants at most, so the coordinator's bound on the lease was rightly over before. Since the polls wait for the end of a run, more of them are open at a restart.

Such a poll now ends without an answer, unless requests reach the next incarnation in this run, and the simulated worker shortens a longer lease to its maximum, as the platform's workers do.

--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -156,7 +156,7 @@
   void forgetUnacknowledgedResults(const FakeWorker &Worker);
   void endRun(FakeWorker &Worker, const std::string &Name, RunOutcome Outcome);
   RequestStatus executeStart(FakeWorker &Worker, const StartRequest &Request);
-  static void renewLease(FakeWorker &Worker, const PollRequest &Request);
+  void renewLease(FakeWorker &Worker, int64_t UntilMs) const;
   RequestStatus executePoll(FakeWorker &Worker, const PollRequest &Request,
                             WorkerReport &Report);
   int64_t workerClockMs(const FakeWorker &Worker) const;
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -33,9 +33,7 @@
   Worker.FencingToken_ = Request.FencingToken_;
   if (Request.LeaseUntilMs_ <= workerClockMs(Worker))
     return RequestStatus::LeaseExpired;
-  Worker.LeaseEnd_ = std::max(
-      Worker.LeaseEnd_,
-      Worker.StartedAt_ + std::chrono::milliseconds(Request.LeaseUntilMs_));
+  renewLease(Worker, Request.LeaseUntilMs_);
   auto Existing = Worker.Runs_.find(Name);
   if (Existing != Worker.Runs_.end() &&
       Existing->second.Number_ == Request.Run_)
@@ -165,7 +163,14 @@
                     PollCallback Done) {
   auto Report = std::make_shared<WorkerReport>();
   std::string Id = To.Id_;
+  base::TimePoint StartedAt = Workers_.at(Id).StartedAt_;
   auto Answer = [=] {
+    // The connection ended with the incarnation that the poll waited at.
+    if (Workers_.at(Id).StartedAt_ != StartedAt &&
+        !RequestsReachNextIncarnation_) {
+      schedule(CallTimeout, [Done] { Done({RequestStatus::Unknown, {}}); });
+      return;
+    }
     deliver(
         Id,
         [Done, Report](const RequestReply &Reply) {
@@ -181,20 +186,23 @@
     return;
   }
   Workers_.at(Id).WaitingPolls_.emplace_back(now() + Wait, Answer);
+  if (!Request.LeaseUntilMs_)
+    return;
   // The lease is renewed when the poll arrives, not when it is answered.
-  schedule(OneWayDelay, [this, Id, Request] {
+  schedule(OneWayDelay, [this, Id, Request, StartedAt] {
     FakeWorker &Worker = Workers_.at(Id);
-    if (!Worker.DropsRequests_ && Request.FencingToken_ >= Worker.FencingToken_)
-      renewLease(Worker, Request);
+    if (!Worker.DropsRequests_ && Worker.StartedAt_ == StartedAt &&
+        Request.FencingToken_ >= Worker.FencingToken_)
+      renewLease(Worker, *Request.LeaseUntilMs_);
   });
 }
 
-void JobWorld::renewLease(FakeWorker &Worker, const PollRequest &Request) {
-  if (!Request.LeaseUntilMs_)
-    return;
-  auto End =
-      Worker.StartedAt_ + std::chrono::milliseconds(*Request.LeaseUntilMs_);
-  Worker.LeaseEnd_ = std::max(Worker.LeaseEnd_, End);
+// A worker shortens a longer lease to its maximum.
+void JobWorld::renewLease(FakeWorker &Worker, int64_t UntilMs) const {
+  auto End = Worker.StartedAt_ + std::chrono::milliseconds(UntilMs);
+  base::TimePoint Latest = now() + CoordinatorTimings().MaxLeaseDuration_;
+  Worker.LeaseEnd_ =
+      std::max(Worker.LeaseEnd_, std::min<base::TimePoint>(End, Latest));
 }
 
 void JobWorld::answerPolls(FakeWorker &Worker, bool All) {
@@ -216,7 +224,8 @@
   if (Request.FencingToken_ < Worker.FencingToken_)
     return RequestStatus::Fenced;
   Worker.FencingToken_ = Request.FencingToken_;
-  renewLease(Worker, Request);
+  if (Request.LeaseUntilMs_)
+    renewLease(Worker, *Request.LeaseUntilMs_);
   for (const RunResult &Result : Worker.Ended_)
     if (Result.SequenceNumber_ <= Request.AcknowledgedSequence_ &&
         Result.Outcome_ == RunOutcome::Failed) {
