--- a/tests/jobs/Reservations.tests.cpp
+++ b/tests/jobs/Reservations.tests.cpp
@@ -40,8 +40,7 @@
 } // namespace
 
 TEST_CASE_FIXTURE(
-    BusyFleet, "Large tasks do not starve while smaller tasks take each gap" *
-                   doctest::may_fail()) {
+    BusyFleet, "Large tasks do not starve while smaller tasks take each gap") {
   run(seconds(3));
   World_.submit("large", chainJob(1, 2, 12'000));
   run(seconds(3));
@@ -49,8 +48,7 @@
 }
 
 TEST_CASE_FIXTURE(
-    BusyFleet, "Large tasks do not starve when the coordinator was replaced" *
-                   doctest::may_fail()) {
+    BusyFleet, "Large tasks do not starve when the coordinator was replaced") {
   run(seconds(3));
   World_.submit("large", chainJob(1, 2, 12'000));
   run(milliseconds(200));
@@ -62,8 +60,7 @@
 }
 
 TEST_CASE_FIXTURE(BusyFleet,
-                  "A gang does not starve while single tasks take each gap" *
-                      doctest::may_fail()) {
+                  "A gang does not starve while single tasks take each gap") {
   run(seconds(3));
   JobSpec Gang = chainJob(1, 2, 12'000);
   Gang.Steps_[0].Gang_ = true;
