Give each occurrence of a recurring job a target of its own

It now counts from when the occurrence is due.

'A late occurrence of a recurring job has its own target' fails on the code before.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -63,6 +63,9 @@
   void releaseSteps(OccurrenceEntry &Occurrence,
                     const internal::TimeSpent &CriticalTime = {});
   void updateCompletionTarget(JobEntry &Job);
+  //! Time from the acceptance of a recurring job until an occurrence is due;
+  //! 0 for other jobs.
+  static base::Duration dueDelay(const JobEntry &Job, uint32_t Occurrence);
   void completeTask(JobEntry &Job, StepEntry &Step, TaskEntry &Task);
   void completeStep(JobEntry &Job, const StepEntry &Step);
   //! CriticalTime is the time of the chain of tasks that determined the end.
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -57,6 +57,14 @@
   Job.OverdueAt_ = now() - Age + internal::OverdueFactor * Target;
 }
 
+base::Duration Coordinator::Impl::dueDelay(const JobEntry &Job,
+                                           uint32_t Occurrence) {
+  const JobSpec &Spec = Job.Record_.Spec_;
+  if (Spec.Repetitions_ == 0)
+    return {};
+  return Spec.FirstRun_ + Spec.Interval_ * Occurrence - Job.Record_.AcceptedAt_;
+}
+
 void Coordinator::Impl::addJob(const std::string &Id, JobRecord Record,
                                const std::optional<JobProgress> &Progress,
                                bool Restored) {
@@ -168,7 +176,8 @@
 Coordinator::Impl::ReadyKey
 Coordinator::Impl::readyKey(const StepEntry &Step) const {
   const QueueConfig *Queue = queueConfig(*Step.Job_);
-  return {Queue != nullptr ? Queue->Priority_ : 0, Step.Job_->CompletionTarget_,
+  return {Queue != nullptr ? Queue->Priority_ : 0,
+          Step.Job_->CompletionTarget_ + dueDelay(*Step.Job_, Step.Occurrence_),
           Step.Job_->Sequence_, Step.Occurrence_, Step.Number_};
 }
 
@@ -259,7 +268,9 @@
   using internal::TimeUse;
   const JobSpec &Spec = Job.Record_.Spec_;
   base::Duration Age = Job.FinishedWallTime_ - Job.Record_.AcceptedAt_;
-  base::Duration Lateness = now() - Job.CompletionTarget_;
+  uint32_t LastOccurrence = std::max<uint32_t>(1, Spec.Repetitions_) - 1;
+  base::Duration Lateness =
+      now() - Job.CompletionTarget_ - dueDelay(Job, LastOccurrence);
   WorkMetrics_.recordEnd(Spec, {Job.State_, Age, Age - Lateness, CriticalTime});
   int64_t Tasks = 0;
   int64_t LargestTask = 0;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -324,7 +324,8 @@
                                                         base::TimePoint Now) {
   if (Step.Spec_->LongRunning_)
     return Urgency::Serving;
-  base::TimePoint End = Now + Step.Spec_->EstimatedDuration_;
+  base::TimePoint End = Now + Step.Spec_->EstimatedDuration_ -
+                        dueDelay(*Step.Job_, Step.Occurrence_);
   if (End > Step.Job_->OverdueAt_)
     return Urgency::Overdue;
   bool MayGoOn = hasBegun(Step) || Step.Spec_->BestEffort_;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -145,7 +145,8 @@
   std::map<uint32_t, OccurrenceEntry> Occurrences_;
   uint32_t OccurrencesDone_ = 0;
   uint32_t NextOccurrence_ = 0;
-  //! Orders jobs of equal priority; ties are broken by Sequence_.
+  //! Orders jobs of equal priority; ties are broken by Sequence_. For each
+  //! occurrence of a recurring job, both times are later by its dueDelay().
   base::TimePoint CompletionTarget_;
   base::TimePoint OverdueAt_;
   uint64_t Sequence_ = 0;
--- a/tests/jobs/PlacementOrder.tests.cpp
+++ b/tests/jobs/PlacementOrder.tests.cpp
@@ -48,4 +48,19 @@
   CHECK(World_.startsOf("wide.0.0.5") == 1);
 }
 
+TEST_CASE_FIXTURE(SingleWorker,
+                  "A late occurrence of a recurring job has its own target") {
+  JobSpec Recurring = chainJob(1, 1, 9'000);
+  Recurring.FirstRun_ = World_.Clock_.wallNow();
+  Recurring.Interval_ = seconds(6);
+  Recurring.Repetitions_ = 2;
+  World_.submit("recurring", Recurring);
+  World_.run(seconds(3));
+  for (int I = 0; I < 10; ++I) {
+    World_.submit("on-time-" + std::to_string(I), chainJob(1, 1, 9'000));
+    World_.run(milliseconds(500));
+  }
+  CHECK(World_.startsOf("recurring.1.0.0") == 1);
+}
+
 } // namespace crocuslead::jobs::test
