Order late steps by target again, whether they have begun or not

A step that has not begun loses that way to all on time for the whole burst, which is the cause of the incident.

The case of the late step that has begun passes with either order.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -139,10 +139,9 @@
   }
 
   // Placement.cpp: choice of workers for ready steps, and speculative copies.
-  enum class Urgency : uint8_t { Serving, OnTime, Late, Overdue };
+  enum class Urgency : uint8_t { Serving, Useful, Overdue };
   void placeReadySteps();
   static Urgency urgencyOf(const StepEntry &Step, base::TimePoint Now);
-  static bool hasBegun(const StepEntry &Step);
   void placeSteps(Urgency Level, base::TimePoint Now);
   //! Kinds of steps that found no worker in this placement pass.
   struct UnplaceableSteps;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -304,34 +304,20 @@
   if (Superseded_)
     return;
   base::TimePoint Now = now();
-  for (Urgency Level :
-       {Urgency::Serving, Urgency::OnTime, Urgency::Late, Urgency::Overdue})
+  for (Urgency Level : {Urgency::Serving, Urgency::Useful, Urgency::Overdue})
     placeSteps(Level, Now);
 }
 
 // Long-running tasks come first because their service is degraded whenever they
-// do not run. A late step that has begun is finished like one on time: what its
-// done tasks have used would be wasted, and a wide step, whose last task
-// decides, would always lose to narrow ones. Jobs whose result will be of
-// little use come last: otherwise, on a full fleet, they would make the next
-// jobs overdue as well.
+// do not run. Jobs whose result will be of little use come last: otherwise, on
+// a full fleet, they would make the next jobs overdue as well.
 Coordinator::Impl::Urgency Coordinator::Impl::urgencyOf(const StepEntry &Step,
                                                         base::TimePoint Now) {
   if (Step.Spec_->LongRunning_)
     return Urgency::Serving;
   base::TimePoint End = Now + Step.Spec_->EstimatedDuration_ -
                         dueDelay(*Step.Job_, Step.Occurrence_);
-  if (End > Step.Job_->OverdueAt_)
-    return Urgency::Overdue;
-  bool MayGoOn = hasBegun(Step) || Step.Spec_->BestEffort_;
-  return End <= Step.Job_->CompletionTarget_ || MayGoOn ? Urgency::OnTime
-                                                        : Urgency::Late;
-}
-
-bool Coordinator::Impl::hasBegun(const StepEntry &Step) {
-  return Step.DoneCount_ > 0 ||
-         std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(),
-                     [](const TaskEntry &Task) { return !Task.Runs_.empty(); });
+  return End > Step.Job_->OverdueAt_ ? Urgency::Overdue : Urgency::Useful;
 }
 
 void Coordinator::Impl::placeSteps(Urgency Level, base::TimePoint Now) {
