Reserve workers for a late step that starves behind smaller tasks

Cause: whatever fits starts, in the order of the queue. Each gap goes to a smaller task long before it is large enough, so nothing bounds the wait of a large one.

They now begin only when the job has missed its target: the first such step of which nothing has started for a second reserves the workers on which it will fit first, at most a 128th of them, an eighth for a gang. Until it starts, smaller tasks get on these only if they end before or leave room; tasks as large as its own are not kept out.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -163,12 +163,23 @@
   bool fits(const StepEntry &Step, WorkerEntry &Worker) const;
   bool acceptsStarts(const WorkerEntry &Worker) const;
   static bool hasRequiredLabel(const StepSpec &Spec, const WorkerEntry &Worker);
+  static bool isAtStepLimit(const StepEntry &Step, const WorkerEntry &Worker);
   bool isEligible(const StepEntry &Step, WorkerEntry &Worker) const;
   double placementScore(const StepEntry &Step, WorkerEntry &Worker,
                         const std::string &PreferredRack) const;
   double packingScore(const StepEntry &Step, const WorkerEntry &Worker) const;
   void startSpeculativeCopies();
 
+  // Reservations.cpp: reservation of workers for a starving step, with
+  // backfill.
+  void clearReservations();
+  void renewReservations();
+  bool isStarving(const StepEntry &Step) const;
+  void reserveWorkers(const StepEntry &Step);
+  std::optional<base::TimePoint> expectedFit(const StepEntry &Step,
+                                             const WorkerEntry &Worker) const;
+  bool isHeldForOther(const StepEntry &Step, const WorkerEntry &Worker) const;
+
   // Throttling.cpp: throttling of best-effort tasks beside serving tasks.
   void updatePressure(WorkerEntry &Worker);
   void throttleBestEffort(WorkerEntry &Worker);
@@ -241,6 +252,8 @@
   bool Recovering_ = false;
   base::TimePoint RecoveryDeadline_;
   base::TimePoint RecoveryEndedAt_;
+  //! The one step for which workers are reserved; null for none.
+  const StepEntry *ReservingStep_ = nullptr;
   //! Starts of tasks with reserved CPU in this term.
   uint64_t ReservedStarts_ = 0;
   base::TimePoint NextCheckAt_;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -82,6 +82,16 @@
              Labels.end();
 }
 
+bool Coordinator::Impl::isAtStepLimit(const StepEntry &Step,
+                                      const WorkerEntry &Worker) {
+  if (Step.Spec_->MaxPerWorker_ == 0)
+    return false;
+  auto RunsHere =
+      std::count_if(Worker.Runs_.begin(), Worker.Runs_.end(),
+                    [&](const RunEntry *Run) { return Run->Step_ == &Step; });
+  return RunsHere >= static_cast<int64_t>(Step.Spec_->MaxPerWorker_);
+}
+
 bool Coordinator::Impl::isEligible(const StepEntry &Step,
                                    WorkerEntry &Worker) const {
   const StepSpec &Spec = *Step.Spec_;
@@ -89,14 +99,8 @@
     return false;
   if (!hasRequiredLabel(Spec, Worker))
     return false;
-  if (Spec.MaxPerWorker_ > 0) {
-    auto RunsHere =
-        std::count_if(Worker.Runs_.begin(), Worker.Runs_.end(),
-                      [&](const RunEntry *Run) { return Run->Step_ == &Step; });
-    if (RunsHere >= static_cast<int64_t>(Spec.MaxPerWorker_))
-      return false;
-  }
-  return fits(Step, Worker);
+  return !isAtStepLimit(Step, Worker) && !isHeldForOther(Step, Worker) &&
+         fits(Step, Worker);
 }
 
 // Packs serving tasks on few workers. That leaves workers without serving tasks
@@ -303,6 +307,7 @@
   PlacementRequested_ = false;
   if (Superseded_)
     return;
+  renewReservations();
   base::TimePoint Now = now();
   for (Urgency Level : {Urgency::Serving, Urgency::Useful, Urgency::Overdue})
     placeSteps(Level, Now);
@@ -339,8 +344,11 @@
         Step.Tasks_.begin(), Step.Tasks_.end(), [](const TaskEntry &Task) {
           return !Task.Done_ && Task.Runs_.empty();
         });
-    if (HasPendingTasks && !(Recovering_ && Step.Job_->Restored_))
+    if (HasPendingTasks && !(Recovering_ && Step.Job_->Restored_)) {
       Unplaceable.add(Step);
+      if (ReservingStep_ == nullptr && isStarving(Step))
+        reserveWorkers(Step);
+    }
     It = HasPendingTasks ? std::next(It) : ReadySteps_.erase(It);
     if (PlacedSteps >= MaxStepsPerPass) {
       PlacementRequested_ = true;
--- /dev/null
+++ b/src/jobs/internal/Reservations.cpp
@@ -0,0 +1,140 @@
+#include "jobs/internal/Impl.h"
+
+#include <algorithm>
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// A late step of which no task has run or started for this long is starving.
+constexpr auto StarvationTime = std::chrono::seconds(1);
+// At most this part of the workers is reserved: while capacity is collected on
+// a worker, part of it is idle.
+constexpr std::size_t ReservedWorkersDivisor = 128;
+// A gang needs all its places at the same time; one that needs more than this
+// part of the workers gets no reservation.
+constexpr std::size_t GangWorkersDivisor = 8;
+
+base::Duration expectedRunTime(const internal::StepEntry &Step) {
+  if (Step.RunSamples_ == 0)
+    return Step.Spec_->EstimatedDuration_;
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(Step.MeanRunSeconds_));
+}
+
+base::Resources reservedBy(const StepSpec &Spec) {
+  base::Resources Out = Spec.Request_;
+  if (Spec.BestEffort_)
+    Out.MilliCpu_ = 0;
+  return Out;
+}
+
+} // namespace
+
+void Coordinator::Impl::clearReservations() {
+  if (ReservingStep_ == nullptr)
+    return;
+  for (WorkerEntry *Worker : WorkerOrder_)
+    Worker->Reservation_.reset();
+  ReservingStep_ = nullptr;
+}
+
+// The step that holds reservations keeps them until it starts: they have to
+// last while steps that go before it take their turns.
+void Coordinator::Impl::renewReservations() {
+  const StepEntry *Step = ReservingStep_;
+  clearReservations();
+  if (Step != nullptr && isStarving(*Step))
+    reserveWorkers(*Step);
+}
+
+// A step on time may still find a gap; reserving for it would only idle
+// workers.
+bool Coordinator::Impl::isStarving(const StepEntry &Step) const {
+  bool HasRuns =
+      std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(),
+                  [](const TaskEntry &Task) { return !Task.Runs_.empty(); });
+  return !Step.Spec_->BestEffort_ && !HasRuns &&
+         now() > readyKey(Step).CompletionTarget_ &&
+         longestWait(Step) >= StarvationTime;
+}
+
+// Reservations keep smaller tasks out, which would take each gap. Tasks that
+// are at least as large wait for the same gaps, in the order of the queue.
+// Backfill: smaller tasks still start if they end before the step can start
+// there, or leave enough room for it.
+bool Coordinator::Impl::isHeldForOther(const StepEntry &Step,
+                                       const WorkerEntry &Worker) const {
+  if (!Worker.Reservation_ || Worker.Reservation_->Step_ == &Step)
+    return false;
+  const StepSpec &Spec = *Step.Spec_;
+  const StepSpec &Holder = *Worker.Reservation_->Step_->Spec_;
+  if (!Spec.BestEffort_ && Holder.Request_.fitsIn(Spec.Request_))
+    return false;
+  base::Resources Left =
+      Worker.Info_.Capacity_ - Worker.Reserved_ - reservedBy(Spec);
+  if (Spec.BestEffort_)
+    return Left.MemoryMb_ < Holder.Request_.MemoryMb_;
+  if (Holder.Request_.fitsIn(Left))
+    return false;
+  return Spec.LongRunning_ ||
+         now() + expectedRunTime(Step) > Worker.Reservation_->ReadyAt_;
+}
+
+// When enough runs on the worker are expected to have ended for a task of the
+// step to fit; unset if that does not depend on runs that end by themselves.
+std::optional<base::TimePoint>
+Coordinator::Impl::expectedFit(const StepEntry &Step,
+                               const WorkerEntry &Worker) const {
+  base::Resources Free = Worker.Info_.Capacity_ - Worker.Reserved_;
+  const base::Resources &Request = Step.Spec_->Request_;
+  if (Request.fitsIn(Free))
+    return now();
+  std::vector<std::pair<base::TimePoint, const RunEntry *>> Ends;
+  for (const RunEntry *Run : Worker.Runs_) {
+    if (Run->Phase_ == RunPhase::Stopping)
+      Ends.emplace_back(now() + Settings_.Times_.StopTimeout_, Run);
+    else if (!Run->Step_->Spec_->LongRunning_)
+      Ends.emplace_back(
+          std::max(now(), Run->StartedAt_ + expectedRunTime(*Run->Step_)), Run);
+  }
+  std::sort(Ends.begin(), Ends.end());
+  for (const auto &[End, Run] : Ends) {
+    Free += reservedBy(*Run->Step_->Spec_);
+    if (Request.fitsIn(Free))
+      return End;
+  }
+  return std::nullopt;
+}
+
+void Coordinator::Impl::reserveWorkers(const StepEntry &Step) {
+  const QueueConfig *Queue = queueConfig(*Step.Job_);
+  if (Queue == nullptr)
+    return;
+  auto Wanted = static_cast<std::size_t>(std::count_if(
+      Step.Tasks_.begin(), Step.Tasks_.end(),
+      [&](const TaskEntry &Task) { return isStartable(Step, Task); }));
+  std::size_t Divisor =
+      Step.Spec_->Gang_ ? GangWorkersDivisor : ReservedWorkersDivisor;
+  std::size_t Limit = std::max<std::size_t>(1, WorkerOrder_.size() / Divisor);
+  if (Step.Spec_->Gang_ && Wanted > Limit)
+    return;
+  std::vector<std::pair<base::TimePoint, WorkerEntry *>> Candidates;
+  for (WorkerEntry *Worker : WorkerOrder_) {
+    if (Worker->Info_.Service_ != Queue->Service_ || !acceptsStarts(*Worker) ||
+        !hasRequiredLabel(*Step.Spec_, *Worker) || isAtStepLimit(Step, *Worker))
+      continue;
+    if (auto ReadyAt = expectedFit(Step, *Worker))
+      Candidates.emplace_back(*ReadyAt, Worker);
+  }
+  Wanted = std::min({Wanted, Limit, Candidates.size()});
+  auto End = Candidates.begin() + static_cast<std::ptrdiff_t>(Wanted);
+  std::partial_sort(
+      Candidates.begin(), End, Candidates.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
+  for (auto It = Candidates.begin(); It != End; ++It)
+    It->second->Reservation_ = internal::Reservation{&Step, It->first};
+  ReservingStep_ = &Step;
+}
+
+} // namespace crocuslead::jobs
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -177,6 +177,13 @@
   base::TimePoint TakenAt_;
 };
 
+//! Keeps the capacity that becomes free on a worker for a step that waits.
+struct Reservation {
+  const StepEntry *Step_ = nullptr;
+  //! When a task of the step is expected to fit.
+  base::TimePoint ReadyAt_;
+};
+
 struct WorkerEntry {
   //! Consecutive failed polls after which a worker counts as unreachable.
   static constexpr int UnreachablePollFailures = 2;
@@ -220,6 +227,7 @@
   base::TimePoint AvoidUntil_;
   //! It was lost lately, so until then it only gets tasks that have waited.
   base::TimePoint ProbationUntil_;
+  std::optional<Reservation> Reservation_;
   //! Smoothed ratio of run times on this worker to the mean of all workers.
   double Slowdown_ = 1;
   //! CPU usage of the best-effort tasks at the last poll.
--- a/src/jobs/internal/Waits.cpp
+++ b/src/jobs/internal/Waits.cpp
@@ -144,11 +144,14 @@
   int64_t WithoutCpu = 0;
   int64_t WithoutMemory = 0;
   int64_t LargestFreeMilliCpu = 0;
+  int64_t Reserved = 0;
   for (const WorkerEntry *Worker : WorkerOrder_) {
     if (Queue == nullptr || Worker->Info_.Service_ != Queue->Service_ ||
         !acceptsStarts(*Worker) || !hasRequiredLabel(Spec, *Worker))
       continue;
     ++Suitable;
+    if (Worker->Reservation_ && Worker->Reservation_->Step_ == &Step)
+      ++Reserved;
     base::Resources Free = Worker->Info_.Capacity_ - Worker->Reserved_;
     WithoutCpu += Free.MilliCpu_ < ReservedMilliCpu ? 1 : 0;
     WithoutMemory += Free.MemoryMb_ < Spec.Request_.MemoryMb_ ? 1 : 0;
@@ -169,6 +172,7 @@
        {"task_memory_mb", Spec.Request_.MemoryMb_},
        {"late_ms", base::toMillis(now() - readyKey(Step).CompletionTarget_)},
        {"starts_meanwhile", ReservedStarts_ - Step.StartsBeforeRelease_},
+       {"reserved_workers", Reserved},
        {"suitable_workers", Suitable},
        {"without_cpu", WithoutCpu},
        {"without_memory", WithoutMemory},
