Show that a large batch task starves in the planner

The same cause as in the jobs of the platform: within one workspace, each gap goes to a smaller task. On four workers with four tasks each, one ending a second, a task of three quarters of a worker has not started after 120 s. Reservations exist in the planner only for urgent tasks and reclaimed shares.

--- a/tests/schedule/Planner.tests.cpp
+++ b/tests/schedule/Planner.tests.cpp
@@ -36,6 +36,37 @@
   CHECK(Decisions[0].Worker_ == 200);
 }
 
+TEST_CASE("a large batch task starts although smaller ones take each gap" *
+          doctest::may_fail()) {
+  Planner Plan;
+  constexpr TaskNumber WorkerCount = 4;
+  constexpr TaskNumber RunsPerWorker = 4;
+  for (WorkerNumber I = 1; I <= WorkerCount; ++I)
+    Plan.upsertWorker(worker(I, 8000));
+  std::map<TaskNumber, WorkerNumber> Running;
+  for (TaskNumber I = 0; I < WorkerCount * RunsPerWorker; ++I) {
+    Running[I + 1] = static_cast<WorkerNumber>(I % WorkerCount + 1);
+    Plan.allocate({batch(I + 1, 2000), Running[I + 1], Start, Start});
+  }
+  constexpr TaskNumber Large = 50;
+  Plan.addPending(batch(Large, 6000));
+  bool LargeStarted = false;
+  TaskNumber Next = 100;
+  // One task ends each second, and another one is waiting already.
+  for (int Second = 1; Second <= 120 && !LargeStarted; ++Second) {
+    PendingTask Small = batch(Next++, 2000);
+    Small.Submitted_ = Start + seconds(Second);
+    Plan.addPending(Small);
+    Plan.release(Running.begin()->first);
+    Running.erase(Running.begin());
+    for (const Decision &D : starts(Plan, Start + seconds(Second))) {
+      Running[D.Task_] = D.Worker_;
+      LargeStarted = LargeStarted || D.Task_ == Large;
+    }
+  }
+  CHECK(LargeStarted);
+}
+
 TEST_CASE("replicas of a service are spread over racks") {
   Planner Plan;
   for (WorkerNumber I = 0; I < 12; ++I)
