Give the reservation on to the next step if a task fits no worker

Found on reading the change again: a late step that no worker can ever run became the step that holds reservations, with none to hold, and kept that place until its job was cancelled. Large tasks starved as before. The place now goes to the first starving step for which a worker can be reserved.

'A task that fits no worker does not keep others from starting' failed on the code before and passes; the other 59 cases of tests_jobs are unchanged.

--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -128,6 +128,8 @@
       Candidates.emplace_back(*ReadyAt, Worker);
   }
   Wanted = std::min({Wanted, Limit, Candidates.size()});
+  if (Wanted == 0)
+    return;
   auto End = Candidates.begin() + static_cast<std::ptrdiff_t>(Wanted);
   std::partial_sort(
       Candidates.begin(), End, Candidates.end(),
--- a/tests/jobs/LargeTasks.tests.cpp
+++ b/tests/jobs/LargeTasks.tests.cpp
@@ -62,6 +62,16 @@
     FAIL_CHECK(Violation);
 }
 
+TEST_CASE_FIXTURE(
+    BusyFleet,
+    "A task that fits no worker does not keep others from starting") {
+  World_.submit("impossible", chainJob(1, 1, 20'000));
+  run(seconds(3));
+  World_.submit("large", chainJob(1, 2, 12'000));
+  run(OverdueTime);
+  CHECK(World_.state("large") == JobState::Completed);
+}
+
 TEST_CASE_FIXTURE(BusyFleet,
                   "A gang does not starve while single tasks take each gap") {
   run(seconds(3));
