--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -32,7 +32,8 @@
                       f"listen_addresses.front={self.ip}:7100\nlisten_addresses.ready={self.ip}:7101\n"
                       f"internal_port_range=7720,7735\nplatform.address=127.0.0.1:{relay.port}\n"
                       "limits.cpu_share=0.25\nbounds.max_hold_ms=6000\nbounds.stop_timeout_ms=400\n"
-                      "bounds.status_s=120\nbounds.harm_ms=4000\nbounds.grace_period_s=6\n")
+                      "bounds.status_s=120\nbounds.harm_ms=4000\nbounds.grace_period_s=6\n"
+                      "bounds.config_apply_ms=3000\n")
 
     def start(self):
         self.process = subprocess.Popen([BINARY, "entry"], stdout=self.log, stderr=self.log,
--- a/src/store/KeyValueStore.h
+++ b/src/store/KeyValueStore.h
@@ -79,6 +79,7 @@
   bool Deleted_ = false;
 };
 
+//! Without events, it only confirms that nothing changed up to Revision_.
 struct WatchBatch {
   std::vector<WatchEvent> Events_;
   int64_t Revision_ = 0;
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -35,12 +35,14 @@
   Watch_.reset();
   Alive_ = std::make_shared<int>(0);
   Reading_ = false;
+  ConfirmedAt_.reset();
   NextRead_ = Clock_.now();
   read();
 }
 
 void Mirror::read() {
   Reading_ = true;
+  ReadSentAt_ = Clock_.now();
   Store_.range(Prefix_, prefixEnd(Prefix_),
                [this, Weak = std::weak_ptr<int>(Alive_)](
                    const StoreResult<RangeReply> &Result) {
@@ -85,6 +87,7 @@
       Hooks_.Changed_(Each, false);
   }
   Loaded_ = true;
+  ConfirmedAt_ = ReadSentAt_;
   watch(Reply.Revision_ + 1);
   if (Hooks_.Loaded_)
     Hooks_.Loaded_();
@@ -98,6 +101,7 @@
                      if (Weak.expired())
                        return;
                      if (const auto *Batch = std::get_if<WatchBatch>(&Result)) {
+                       ConfirmedAt_ = Clock_.now();
                        for (const WatchEvent &Event : Batch->Events_)
                          apply(Event);
                        return;
--- a/src/store/Mirror.h
+++ b/src/store/Mirror.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace crocuslead::store {
@@ -34,6 +35,9 @@
   bool loaded() const { return Loaded_; }
   //! False from the end of a watch until the next complete reading.
   bool current() const { return Loaded_ && Watch_ != nullptr; }
+  //! When the store last showed that the values are current; unset before the
+  //! first reading and from reload() until its reading is complete.
+  std::optional<base::TimePoint> confirmedAt() const { return ConfirmedAt_; }
   const std::map<std::string, KeyValue> &values() const { return Values_; }
   const KeyValue *find(const std::string &Key) const;
 
@@ -57,6 +61,8 @@
   bool FailureLogged_ = false;
   int Failures_ = 0;
   base::TimePoint NextRead_;
+  base::TimePoint ReadSentAt_;
+  std::optional<base::TimePoint> ConfirmedAt_;
 };
 
 } // namespace crocuslead::store
--- a/tests/app/FakeStore.h
+++ b/tests/app/FakeStore.h
@@ -64,6 +64,16 @@
   void put(const std::string &Key, const std::string &Value) {
     apply({{}, {{Key, Value, 0}}, {}});
   }
+  //! Tells the open watches that there were no other changes.
+  void confirmWatches() {
+    if (Down_)
+      return;
+    for (const auto &Each : Watchers_)
+      Answers_.push_back([Each = Each, Revision = Revision_] {
+        if (Each->Open_)
+          Each->OnBatch_(store::WatchBatch{{}, Revision});
+      });
+  }
   //! The open watches stay silent from now on.
   void cutWatches() {
     for (const auto &Each : Watchers_)
--- a/tests/platform/Documents.tests.cpp
+++ b/tests/platform/Documents.tests.cpp
@@ -24,6 +24,7 @@
                                  "bounds.status_s=120\n"
                                  "bounds.harm_ms=4000\n"
                                  "bounds.grace_period_s=6\n"
+                                 "bounds.config_apply_ms=3000\n"
                                  "some.new.field=1\n";
 
 std::string without(const std::string &Name) {
@@ -46,9 +47,9 @@
 }
 
 TEST_CASE("A missing or wrong setting is named") {
-  for (const char *Name :
-       {"node", "listen_addresses.front", "platform.address",
-        "bounds.max_hold_ms", "limits.cpu_share", "internal_port_range"}) {
+  for (const char *Name : {"node", "listen_addresses.front", "platform.address",
+                           "bounds.max_hold_ms", "bounds.config_apply_ms",
+                           "limits.cpu_share", "internal_port_range"}) {
     CAPTURE(Name);
     std::string Text =
         tests::errorText([&] { return parseSettings(without(Name)); });
