Count the time in which the machine was suspended

Cause: the steady clock stands still while a machine is suspended, so a process that woke up took its knowledge of seconds ago for fresh and did not read the store again. Change: SystemClock::now() reads CLOCK_BOOTTIME; the check for a pause between two ticks then covers suspensions. Result: by reading; no test here can suspend the machine.

--- a/src/base/Clock.cpp
+++ b/src/base/Clock.cpp
@@ -1,10 +1,15 @@
 #include "base/Clock.h"
 
+#include <ctime>
+
 namespace crocuslead::base {
 
 TimePoint SystemClock::now() const {
-  auto SinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(SinceBoot));
+  timespec SinceBoot{};
+  clock_gettime(CLOCK_BOOTTIME, &SinceBoot);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(SinceBoot.tv_sec) +
+      std::chrono::nanoseconds(SinceBoot.tv_nsec)));
 }
 
 WallTime SystemClock::wallNow() const {
--- a/src/base/Clock.h
+++ b/src/base/Clock.h
@@ -28,7 +28,8 @@
   virtual WallTime wallNow() const = 0;
 };
 
-//! The clock of the operating system.
+//! The clock of the operating system. Time in which the machine was suspended
+//! counts.
 class SystemClock final : public Clock {
 public:
   TimePoint now() const override;
