Keep the starts in flight within what links and workers take in time

Cause: the coordinator sent each start as soon as it had found a worker. Change: CongestionControl limits the starts in flight and spaces polls out when more than a quarter of the replies in 250 ms are slow or missing, and opens again when almost none are. Tasks then wait in the order of the queue. Losses at a tenth of the workers have no effect.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -31,6 +31,7 @@
     updateRecovery();
     Stability_.prune(now());
     forgetOldIncarnations();
+    Congestion_.adapt(now(), StartsInFlight_);
     startSpeculativeCopies();
     moveThrottledRuns();
     logLongWaits();
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -169,7 +169,7 @@
   }
   if (Advanced && Worker.PendingAcknowledgements_.empty())
     Worker.NextPollAt_ =
-        std::min(Worker.NextPollAt_, now());
+        std::min(Worker.NextPollAt_, now() + Congestion_.pollPause());
 }
 
 bool Coordinator::Impl::allChangesDurable() const {
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/Coordinator.h"
+#include "jobs/internal/CongestionControl.h"
 #include "jobs/internal/Tables.h"
 #include "jobs/internal/WorkMetrics.h"
 #include "jobs/internal/WorkerStability.h"
@@ -83,7 +84,11 @@
                    uint64_t Number);
   void startRun(StepEntry &Step, TaskEntry &Task, WorkerEntry &Worker,
                 uint64_t Number);
-  void onStartReply(uint64_t Serial, const RequestReply &Reply);
+  void onStartReply(uint64_t Serial, base::TimePoint SentAt,
+                    const RequestReply &Reply);
+  bool maySendStart() const {
+    return StartsInFlight_ < Congestion_.maxStartsInFlight();
+  }
   void requestStop(RunEntry &Run, const char *Reason);
   void sendStop(RunEntry &Run);
   void onStopReply(uint64_t Serial, const RequestReply &Reply);
@@ -280,6 +285,8 @@
 
   internal::PressureModel Pressure_;
   internal::WorkerStability Stability_;
+  internal::CongestionControl Congestion_;
+  std::size_t StartsInFlight_ = 0;
 
   bool Recovering_ = false;
   base::TimePoint RecoveryEndedAt_;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -223,6 +223,8 @@
   for (TaskEntry &Task : Step.Tasks_) {
     if (!isStartable(Step, Task))
       continue;
+    if (!maySendStart())
+      break;
     if (!Ranked)
       Ranked = rankWorkers(Step, Rack);
     Candidate *Chosen = bestCandidate(*Ranked, Task);
@@ -339,8 +341,12 @@
       ++It;
       continue;
     }
+    if (!maySendStart())
+      return;
     if (placeStep(Step))
       ++PlacedSteps;
+    if (!maySendStart())
+      return;
     bool HasPendingTasks = std::any_of(
         Step.Tasks_.begin(), Step.Tasks_.end(), [](const TaskEntry &Task) {
           return !Task.Done_ && Task.Runs_.empty();
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -56,6 +56,7 @@
     Request.Wait_ = pollWait(Worker);
   Worker.PollInFlight_ = true;
   Worker.PollSentAt_ = now();
+  Worker.PollWait_ = Request.Wait_;
   Worker.SentAcknowledgedSequence_ = Worker.AcknowledgedSequence_;
   uint64_t Serial = ++Worker.PollSerial_;
   Port_.poll(addressOf(Worker), Request,
@@ -95,11 +96,14 @@
     replaceIncarnation(Worker, NewInfo);
     return;
   }
+  Congestion_.recordReply(now() - Worker.PollSentAt_ - Worker.PollWait_);
   applyReport(Worker, Reply.Report_, Worker.PollSentAt_);
 }
 
 void Coordinator::Impl::onPollFailure(WorkerEntry &Worker,
                                       RequestStatus Status) {
+  if (Worker.PollFailures_ == 0)
+    Congestion_.recordLoss();
   markPollFailure(Worker);
   if (Worker.PollFailures_ == WorkerEntry::UnreachablePollFailures) {
     Stability_.recordLoss(Worker.Info_.Id_, now());
@@ -155,7 +159,7 @@
     Pause = Settings_.Times_.PollWait_;
   else if (!Worker.PendingAcknowledgements_.empty())
     Pause = UndurablePollDelay;
-  Worker.NextPollAt_ = now() + Pause;
+  Worker.NextPollAt_ = now() + std::max(Pause, Congestion_.pollPause());
 }
 
 void Coordinator::Impl::processResults(WorkerEntry &Worker,
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -142,16 +142,25 @@
                   {"failures", static_cast<int64_t>(Task.FailedRuns_.size())},
                   {"resumed", !Task.Checkpoint_.empty()},
                   {"term", Settings_.Term_}});
+  ++StartsInFlight_;
   Port_.start(addressOf(Worker), Request,
-              [Weak = weak_from_this(),
-               Serial = Run.Serial_](const RequestReply &Reply) {
+              [Weak = weak_from_this(), Serial = Run.Serial_,
+               SentAt = now()](const RequestReply &Reply) {
                 if (auto Self = Weak.lock())
-                  Self->onStartReply(Serial, Reply);
+                  Self->onStartReply(Serial, SentAt, Reply);
               });
 }
 
-void Coordinator::Impl::onStartReply(uint64_t Serial,
+void Coordinator::Impl::onStartReply(uint64_t Serial, base::TimePoint SentAt,
                                      const RequestReply &Reply) {
+  if (!maySendStart())
+    PlacementRequested_ = true;
+  --StartsInFlight_;
+  if (Reply.Status_ == RequestStatus::Unknown ||
+      Reply.Status_ == RequestStatus::NotSent)
+    Congestion_.recordLoss();
+  else
+    Congestion_.recordReply(now() - SentAt);
   RunEntry *Run = findRun(Serial);
   if (Run == nullptr || Superseded_)
     return;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -211,6 +211,8 @@
   bool PollInFlight_ = false;
   uint64_t PollSerial_ = 0;
   base::TimePoint PollSentAt_;
+  //! How long the worker may delay the reply to that poll.
+  base::Duration PollWait_{};
   base::TimePoint NextPollAt_;
   int PollFailures_ = 0;
   //! Time of the first of the consecutive failures.
--- a/tests/jobs/FullFleet.tests.cpp
+++ b/tests/jobs/FullFleet.tests.cpp
@@ -40,8 +40,7 @@
   requireServedAlike(Fleet, FullFleet::Confirmations);
 }
 
-TEST_CASE("The largest best-effort jobs are not starved by a burst" *
-          doctest::may_fail()) {
+TEST_CASE("The largest best-effort jobs are not starved by a burst") {
   BurstFleet Fleet(2.8, 0);
   requireServedAlike(Fleet, FullFleet::Plans);
 }
--- a/tests/jobs/LateReplies.tests.cpp
+++ b/tests/jobs/LateReplies.tests.cpp
@@ -194,4 +194,25 @@
     runHistoryOfLateRequests(Seed);
 }
 
+// Guards against a congestion collapse: more requests than the link carries
+// make all of them late, and most runs are given up and started again.
+TEST_CASE("A link that carries too few requests delays tasks but starts none "
+          "of them twice") {
+  JobWorld World;
+  startWithWorkers(World, 20);
+  World.LinkRequestsPerSecond_ = 100;
+  for (int I = 0; I < 30; ++I) {
+    World.submit("j" + std::to_string(I), chainJob(1, 40, 300));
+    World.run(milliseconds(100));
+  }
+  World.run(seconds(60));
+  int Starts = 0;
+  for (int I = 0; I < 30; ++I)
+    CHECK(World.state("j" + std::to_string(I)) == JobState::Completed);
+  for (const auto &[Task, Count] : World.Oracle_.Starts_)
+    Starts += Count;
+  CHECK(Starts <= 30 * 40 * 11 / 10);
+  requireNoViolations(World);
+}
+
 } // namespace crocuslead::jobs::test
