--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-// How often stalled runs, speculative runs, due occurrences and leases are
-// checked.
+// How often due occurrences and leases are checked.
 constexpr auto CheckInterval = std::chrono::milliseconds(50);
+// The checks that visit all runs. Fine enough for stops that are repeated after
+// 300 ms and for runs that are slow after 700 ms.
+constexpr auto RunCheckInterval = std::chrono::milliseconds(200);
 constexpr auto BacklogPassInterval = std::chrono::milliseconds(20);
 
 } // namespace
@@ -26,18 +28,20 @@
     return;
   if (now() >= NextCheckAt_) {
     NextCheckAt_ = now() + CheckInterval;
-    checkRuns();
     expireUnreachableWorkers();
     updateRecovery();
-    Stability_.prune(now());
-    forgetOldIncarnations();
     Congestion_.adapt(now(), StartsInFlight_);
-    startSpeculativeCopies();
-    moveThrottledRuns();
-    logLongWaits();
-    for (auto &[Id, Job] : Jobs_)
-      if (Job->Record_.Spec_.Repetitions_ > 0 && !isFinal(Job->State_))
-        createDueOccurrences(*Job);
+    if (now() >= NextRunCheckAt_) {
+      NextRunCheckAt_ = now() + RunCheckInterval;
+      checkRuns();
+      startSpeculativeCopies();
+      moveThrottledRuns();
+      logLongWaits();
+      Stability_.prune(now());
+      forgetOldIncarnations();
+    }
+    for (JobEntry *Job : RecurringJobs_)
+      createDueOccurrences(*Job);
     PlacementRequested_ = PlacementRequested_ || !ReadySteps_.empty();
   }
   if (PlacementRequested_ && now() >= NextPlacementAt_) {
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace crocuslead::jobs {
 
@@ -244,6 +245,10 @@
   CommitFunction Commit_;
 
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> Jobs_;
+  //! Jobs that repeat and have no final state.
+  std::unordered_set<JobEntry *> RecurringJobs_;
+  //! Number of jobs without a final state that have not started, by queue.
+  std::unordered_map<std::string, std::size_t> WaitingJobs_;
   //! Finished jobs in the order in which they finished.
   std::deque<std::string> FinishedJobs_;
   std::vector<std::string> Expired_;
@@ -295,6 +300,7 @@
   //! Starts of tasks with reserved CPU in this term.
   uint64_t ReservedStarts_ = 0;
   base::TimePoint NextCheckAt_;
+  base::TimePoint NextRunCheckAt_;
   base::TimePoint NextPlacementAt_;
 
   std::deque<std::string> DirtyJobs_;
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -81,6 +81,12 @@
   updateCompletionTarget(Job);
   if (Progress)
     restoreProgress(Job, *Progress);
+  if (!isFinal(Job.State_)) {
+    if (!Job.Started_)
+      ++WaitingJobs_[Job.Record_.Queue_];
+    if (Job.Record_.Spec_.Repetitions_ > 0)
+      RecurringJobs_.insert(&Job);
+  }
   // A finished job also gets its occurrences: its runs that are still being
   // stopped are adopted into them.
   createDueOccurrences(Job);
@@ -201,6 +207,8 @@
 }
 
 void Coordinator::Impl::markStarted(JobEntry &Job) {
+  if (!Job.Started_ && !isFinal(Job.State_))
+    --WaitingJobs_[Job.Record_.Queue_];
   Job.Started_ = true;
   if (Job.State_ == JobState::Queued)
     Job.State_ = JobState::Running;
@@ -241,6 +249,9 @@
                                   const internal::TimeSpent &CriticalTime) {
   if (isFinal(Job.State_))
     return;
+  if (!Job.Started_)
+    --WaitingJobs_[Job.Record_.Queue_];
+  RecurringJobs_.erase(&Job);
   Job.State_ = State;
   Job.FinishedWallTime_ = Clock_.wallNow();
   Job.FinishedAt_ = now();
@@ -322,12 +333,8 @@
 }
 
 std::size_t Coordinator::Impl::waitingJobs(const std::string &Queue) const {
-  return static_cast<std::size_t>(
-      std::count_if(Jobs_.begin(), Jobs_.end(), [&](const auto &Entry) {
-        const JobEntry &Job = *Entry.second;
-        return Job.Record_.Queue_ == Queue && !Job.Started_ &&
-               !isFinal(Job.State_);
-      }));
+  auto It = WaitingJobs_.find(Queue);
+  return It == WaitingJobs_.end() ? 0 : It->second;
 }
 
 std::vector<std::string> Coordinator::Impl::takeExpiredJobs() {
