Do not take a usual retry for a run that was given up

Cause: a failed task is started again before its failure is acknowledged. Change: failures are held back only on workers whose runs were given up. Log lines requests-congested and -uncongested, and metrics and dump of the held back workers and of the limit of starts in flight.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -30,7 +30,7 @@
     NextCheckAt_ = now() + CheckInterval;
     expireUnreachableWorkers();
     updateRecovery();
-    Congestion_.adapt(now(), StartsInFlight_);
+    adaptToCongestion();
     if (now() >= NextRunCheckAt_) {
       NextRunCheckAt_ = now() + RunCheckInterval;
       checkRuns();
@@ -69,6 +69,11 @@
   Out.Runs_ = Runs_.size();
   Out.ReadySteps_ = ReadySteps_.size();
   Out.Recovering_ = Recovering_;
+  Out.MaxStartsInFlight_ = Congestion_.maxStartsInFlight();
+  Out.HeldBackWorkers_ = static_cast<std::size_t>(std::count_if(
+      WorkerOrder_.begin(), WorkerOrder_.end(), [](const WorkerEntry *Worker) {
+        return Worker->HeldBackSequence_ != 0;
+      }));
   countWaitingTasks(Out.Waiting_);
   return Out;
 }
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -97,6 +97,9 @@
   std::size_t Runs_ = 0;
   std::size_t ReadySteps_ = 0;
   bool Recovering_ = false;
+  std::size_t MaxStartsInFlight_ = 0;
+  //! Workers whose results must not be acknowledged.
+  std::size_t HeldBackWorkers_ = 0;
   std::vector<WaitingTasks> Waiting_ = noWaitingTasks();
 };
 
--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -109,8 +109,10 @@
 bool Coordinator::Impl::mustHoldBack(WorkerEntry &Worker,
                                      const WorkerReport &Report,
                                      const RunResult &Result) {
+  // A task that failed is started again at once, before the failure is
+  // acknowledged, so a later run is no sign that the failed one was given up.
   if (Result.Outcome_ != RunOutcome::Done &&
-      Result.Outcome_ != RunOutcome::Failed)
+      (Result.Outcome_ != RunOutcome::Failed || !Worker.RunsAbandoned_))
     return false;
   if (findRunOnWorker(Worker, Result.Task_, Result.Run_) != nullptr)
     return false;
--- a/src/jobs/internal/CongestionControl.h
+++ b/src/jobs/internal/CongestionControl.h
@@ -21,6 +21,8 @@
   //! StartsInFlight is the present number.
   void adapt(base::TimePoint Now, std::size_t StartsInFlight);
 
+  //! Replies were slow lately, so polls are spaced out.
+  bool congested() const { return PollPause_.count() > 0; }
   std::size_t maxStartsInFlight() const { return MaxStartsInFlight_; }
   //! Pause between the reply to a poll and the next poll of the same worker.
   base::Duration pollPause() const { return PollPause_; }
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -87,6 +87,7 @@
                 uint64_t Number);
   void onStartReply(uint64_t Serial, base::TimePoint SentAt,
                     const RequestReply &Reply);
+  void adaptToCongestion();
   bool maySendStart() const {
     return StartsInFlight_ < Congestion_.maxStartsInFlight();
   }
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -197,6 +197,19 @@
     Worker.PendingAcknowledgements_.push_back({Result.SequenceNumber_, "", 0});
 }
 
+void Coordinator::Impl::adaptToCongestion() {
+  bool Before = Congestion_.congested();
+  Congestion_.adapt(now(), StartsInFlight_);
+  if (Congestion_.congested() == Before)
+    return;
+  base::logEvent(
+      base::LogLevel::Warn,
+      Before ? "requests-uncongested" : "requests-congested",
+      {{"starts_in_flight", static_cast<int64_t>(StartsInFlight_)},
+       {"limit", static_cast<int64_t>(Congestion_.maxStartsInFlight())},
+       {"poll_pause_ms", base::toMillis(Congestion_.pollPause())}});
+}
+
 // A run that the worker reports neither as running nor as ended does not exist,
 // provided that the poll was sent after the reply to the run's last request.
 void Coordinator::Impl::reconcileRuns(WorkerEntry &Worker,
--- a/tests/jobs/LateReplies.tests.cpp
+++ b/tests/jobs/LateReplies.tests.cpp
@@ -171,6 +171,30 @@
   requireNoViolations(World);
 }
 
+// Guards against taking a usual retry for a run that was given up. Found in the
+// logs of inc-cc87 of pac-quito-grown.
+TEST_CASE("A successor acknowledges a failed run whose task runs again") {
+  JobWorld World;
+  // The first run goes to the larger worker, which a successor polls last.
+  World.addWorker("w0", 4'000);
+  startWithWorkers(World, 0);
+  World.addWorker("w1");
+  World.run(milliseconds(100));
+  World.worker("w1").FailsAllRuns_ = true;
+  World.submit("a", chainJob(1, 1));
+  World.run(milliseconds(300));
+  World.StoreDown_ = true;
+  World.run(milliseconds(500));
+  REQUIRE(World.Oracle_.RunningOn_["a.0.0.0"].count("w0") == 1);
+  REQUIRE(World.worker("w1").Ended_.size() == 1);
+  World.StoreDown_ = false;
+  World.startSuccessor();
+  World.run(seconds(3));
+  CHECK(World.worker("w1").Ended_.empty());
+  CHECK(World.state("a") == JobState::Completed);
+  requireNoViolations(World);
+}
+
 // Guards against a start that is sent twice on a connection that broke: the
 // second copy is refused as stale because the run of the first has ended.
 TEST_CASE("A start request that is sent twice makes no second run") {
