Survive malformed records and unexpected errors in a handler

Cause: a leader record of another type threw while it was read, so that no instance could be elected; a malformed answer of the coordinator left the caller without one; an exception in a handler ended the process, and one in the tick would have been the last tick.

--- a/src/app/Serve.cpp
+++ b/src/app/Serve.cpp
@@ -2,6 +2,7 @@
 
 #include "app/CommandLine.h"
 #include "app/Instance.h"
+#include "base/EventLoop.h"
 #include "base/Log.h"
 
 #include <asio/io_context.hpp>
@@ -62,7 +63,7 @@
     });
     Process.drain([&Loop] { Loop.stop(); });
   });
-  Loop.run();
+  base::runLoop(Loop);
   base::logEvent(base::LogLevel::Info, "stopped");
   return Code;
 }
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -20,14 +20,15 @@
 
 std::optional<LeaderInfo> parseLeader(const std::string &Text) {
   json In = json::parse(Text, nullptr, false);
-  if (!In.is_object())
+  auto IsText = [&](const char *Name) {
+    return In.contains(Name) && In[Name].is_string();
+  };
+  if (!In.is_object() || !IsText("instance") || !IsText("incarnation") ||
+      !IsText("address") || !In.contains("term") ||
+      !In["term"].is_number_unsigned())
     return std::nullopt;
-  LeaderInfo Out;
-  Out.Instance_ = In.value("instance", "");
-  Out.Incarnation_ = In.value("incarnation", "");
-  Out.Address_ = In.value("address", "");
-  Out.Term_ = In.value("term", uint64_t{0});
-  return Out;
+  return LeaderInfo{In["instance"], In["incarnation"], In["address"],
+                    In["term"]};
 }
 
 uint64_t parseTerm(const store::KeyValue *Key) {
--- a/src/jobs/JobService.cpp
+++ b/src/jobs/JobService.cpp
@@ -195,8 +195,9 @@
         if (Result.Failure_ == http::ExchangeFailure::None &&
             Result.Answer_.Status_ == StatusOk) {
           json Body = json::parse(Result.Answer_.Body_, nullptr, false);
-          if (Body.is_object())
-            if (auto State = parseJobState(Body.value("state", ""))) {
+          if (Body.is_object() && Body.contains("state") &&
+              Body["state"].is_string())
+            if (auto State = parseJobState(Body["state"].get<std::string>())) {
               Done(LookupStatus::Found, *State);
               return;
             }
@@ -274,8 +275,9 @@
         if (Result.Failure_ == http::ExchangeFailure::None &&
             Result.Answer_.Status_ == StatusOk) {
           json Body = json::parse(Result.Answer_.Body_, nullptr, false);
-          if (Body.is_object() && Body.contains("waiting")) {
-            Done(Body.value("waiting", std::size_t{0}));
+          if (Body.is_object() && Body.contains("waiting") &&
+              Body["waiting"].is_number_unsigned()) {
+            Done(Body["waiting"].get<std::size_t>());
             return;
           }
         }
--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -167,6 +167,21 @@
         nullptr);
 }
 
+// Guards against a malformed record that keeps every instance from being
+// elected: reading it threw on each of them.
+TEST_CASE("A malformed leader record does not prevent an election") {
+  for (const char *Record :
+       {R"({"instance":7,"term":1})", R"({"instance":"b"})", "[]", "x",
+        R"({"instance":"b","incarnation":"1","address":"b:1","term":"1"})"}) {
+    CAPTURE(Record);
+    TestCluster Cluster;
+    Cluster.Store_.put(std::string(JobKeys::ElectionPrefix) + "holder", Record);
+    TestInstance First(Cluster.World_, Cluster.Store_, "a");
+    Cluster.run(First, seconds(3));
+    CHECK(First.Election_.isLeader());
+  }
+}
+
 TEST_CASE("Another instance takes over when the leader resigns") {
   TestCluster Cluster;
   TestInstance First(Cluster.World_, Cluster.Store_, "a");
