--- a/bench/CoordinatorFigures.cpp
+++ b/bench/CoordinatorFigures.cpp
@@ -141,7 +141,7 @@
 } // namespace
 
 void coordinatorFigures() {
-  for (int Workers : {66, 245, 490}) {
+  for (int Workers : {66, 245, 490, 890}) {
     CoordinatorRig Rig(Workers);
     Rig.run(WarmUp);
     uint64_t Before = Rig.exchanges();
