--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -157,7 +157,7 @@
   void rememberAbandonment(const WorkerEntry &Worker);
   void restoreAbandonment(WorkerEntry &Worker);
   void forgetOldIncarnations();
-  //! The result must never be acknowledged: its task was started again.
+  //! Acknowledging the result would count its task twice: it was started again.
   bool mustHoldBack(WorkerEntry &Worker, const WorkerReport &Report,
                     const RunResult &Result);
   void holdBack(WorkerEntry &Worker, const RunResult &Result);
