--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -70,6 +70,14 @@
   Out.ReadySteps_ = ReadySteps_.size();
   Out.Recovering_ = Recovering_;
   Out.MaxStartsInFlight_ = Congestion_.maxStartsInFlight();
+  Out.StartsInFlight_ = StartsInFlight_;
+  Out.Starts_ = Starts_;
+  Out.RunsEnded_ = RunsEnded_;
+  Out.WithheldPasses_ = WithheldPasses_;
+  if (Recovering_)
+    Out.RecoveryWaitsFor_ = static_cast<std::size_t>(std::count_if(
+        WorkerOrder_.begin(), WorkerOrder_.end(),
+        [](const WorkerEntry *Worker) { return !Worker->Polled_; }));
   Out.HeldBackWorkers_ = static_cast<std::size_t>(std::count_if(
       WorkerOrder_.begin(), WorkerOrder_.end(), [](const WorkerEntry *Worker) {
         return Worker->HeldBackSequence_ != 0;
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -98,6 +98,14 @@
   std::size_t ReadySteps_ = 0;
   bool Recovering_ = false;
   std::size_t MaxStartsInFlight_ = 0;
+  std::size_t StartsInFlight_ = 0;
+  //! In this term.
+  uint64_t Starts_ = 0;
+  uint64_t RunsEnded_ = 0;
+  //! Placement passes that ended early because MaxStartsInFlight_ was reached.
+  uint64_t WithheldPasses_ = 0;
+  //! Workers whose answer or end of lease a recovery waits for.
+  std::size_t RecoveryWaitsFor_ = 0;
   //! Workers whose results must not be acknowledged.
   std::size_t HeldBackWorkers_ = 0;
   std::vector<WaitingTasks> Waiting_ = noWaitingTasks();
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -144,6 +144,7 @@
   void startProbation(WorkerEntry &Worker, const char *Event);
   bool isReachable(const WorkerEntry &Worker) const;
   void endRecovery(const char *Reason);
+  void logRecoveryWait() const;
   void updateRecovery();
   WorkerAddress addressOf(const WorkerEntry &Worker) const {
     return {Worker.Info_.Id_, Worker.Info_.Address_};
@@ -293,9 +294,14 @@
   internal::WorkerStability Stability_;
   internal::CongestionControl Congestion_;
   std::size_t StartsInFlight_ = 0;
+  uint64_t Starts_ = 0;
+  uint64_t RunsEnded_ = 0;
+  uint64_t WithheldPasses_ = 0;
 
   bool Recovering_ = false;
+  base::TimePoint RecoveryStartedAt_;
   base::TimePoint RecoveryEndedAt_;
+  base::TimePoint NextRecoveryLogAt_;
   //! The one step for which workers are reserved; null for none.
   const StepEntry *ReservingStep_ = nullptr;
   //! Starts of tasks with reserved CPU in this term.
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -314,6 +314,8 @@
   base::TimePoint Now = now();
   for (Urgency Level : {Urgency::Serving, Urgency::Useful, Urgency::Overdue})
     placeSteps(Level, Now);
+  if (!maySendStart() && !ReadySteps_.empty())
+    ++WithheldPasses_;
 }
 
 // Long-running tasks come first because their service is degraded whenever they
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -143,6 +143,7 @@
                   {"resumed", !Task.Checkpoint_.empty()},
                   {"term", Settings_.Term_}});
   ++StartsInFlight_;
+  ++Starts_;
   Port_.start(addressOf(Worker), Request,
               [Weak = weak_from_this(), Serial = Run.Serial_,
                SentAt = now()](const RequestReply &Reply) {
@@ -317,6 +318,7 @@
   StepEntry *Step =
       Job != nullptr ? findStep(*Job, Result.Task_.Position_) : nullptr;
   recordOutcome(Worker, Run, Result);
+  ++RunsEnded_;
   Metrics_
       .counter("crocuslead_runs_ended_total", "Runs of tasks by their end.",
                {{"how", outcomeName(Result.Outcome_)}})
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -16,6 +16,9 @@
 // was superseded.
 constexpr auto PredecessorLeaseGrace = std::chrono::milliseconds(1500);
 
+// A recovery that goes on is logged at this interval.
+constexpr auto RecoveryLogInterval = std::chrono::seconds(1);
+
 int64_t millis(base::Duration D) { return base::toMillis(D); }
 
 //! Longest time that a duration on a worker's clock takes.
@@ -144,6 +147,8 @@
 
 void Coordinator::Impl::recover() {
   Recovering_ = true;
+  RecoveryStartedAt_ = now();
+  NextRecoveryLogAt_ = now() + RecoveryLogInterval;
   base::TimePoint UsualEnd =
       now() + boundOnWorkerClock(Settings_.Times_.LeaseDuration_) +
       PredecessorLeaseGrace;
@@ -180,6 +185,10 @@
   if (!Recovering_)
     return;
   base::TimePoint Now = now();
+  if (Now >= NextRecoveryLogAt_) {
+    NextRecoveryLogAt_ = Now + RecoveryLogInterval;
+    logRecoveryWait();
+  }
   bool AllAnswered = true;
   bool AllDurable = true;
   for (const auto &[Id, Worker] : Workers_) {
@@ -203,12 +212,35 @@
     }
 }
 
+void Coordinator::Impl::logRecoveryWait() const {
+  int64_t Listed = 0;
+  int64_t Unlisted = 0;
+  const WorkerEntry *Last = nullptr;
+  for (const WorkerEntry *Worker : WorkerOrder_) {
+    if (Worker->Polled_)
+      continue;
+    ++(Worker->Registered_ ? Listed : Unlisted);
+    if (Last == nullptr || Worker->LatestLeaseEnd_ > Last->LatestLeaseEnd_)
+      Last = Worker;
+  }
+  if (Last == nullptr)
+    return;
+  base::logEvent(base::LogLevel::Warn, "recovery-waiting",
+                 {{"term", Settings_.Term_},
+                  {"waited_ms", millis(now() - RecoveryStartedAt_)},
+                  {"listed_workers", Listed},
+                  {"unlisted_workers", Unlisted},
+                  {"worker", Last->Info_.Id_},
+                  {"lease_left_ms", millis(Last->LatestLeaseEnd_ - now())}});
+}
+
 void Coordinator::Impl::endRecovery(const char *Reason) {
   Recovering_ = false;
   RecoveryEndedAt_ = now();
   PlacementRequested_ = true;
   base::logEvent(base::LogLevel::Info, "recovery-finished",
                  {{"reason", Reason},
+                  {"took_ms", millis(now() - RecoveryStartedAt_)},
                   {"runs", static_cast<int64_t>(Runs_.size())},
                   {"jobs", static_cast<int64_t>(Jobs_.size())}});
 }
