Do not wait in a takeover for leases that are known to have ended

Cause: the record of used workers keeps lost workers for 30 minutes, so that their late results are recognized, and a successor took each row for a worker that may hold a lease. It also waited for workers that never answered anyone.

Change: a row says that the lease of its worker has ended, or that it never answered. A worker that answers again gets no task before the record says that it may hold a lease, so a successor can rely on the row. Rows of unlisted workers whose lease has ended are kept for late results only. If the record is unreadable in part, every listed worker is waited for, as before.

Tests: three of the six cases of Takeover.tests.cpp fail on the code before (known to be gone, listed with an ended lease, never answered); the others guard the wait that remains.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -77,7 +77,9 @@
   if (Recovering_)
     Out.RecoveryWaitsFor_ = static_cast<std::size_t>(std::count_if(
         WorkerOrder_.begin(), WorkerOrder_.end(),
-        [](const WorkerEntry *Worker) { return !Worker->Polled_; }));
+        [this](const WorkerEntry *Worker) {
+          return !Worker->Polled_ && now() < Worker->LatestLeaseEnd_;
+        }));
   Out.HeldBackWorkers_ = static_cast<std::size_t>(std::count_if(
       WorkerOrder_.begin(), WorkerOrder_.end(), [](const WorkerEntry *Worker) {
         return Worker->HeldBackSequence_ != 0;
--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 // Runs on workers that no longer answer. A run is over once the worker's lease
 // has ended, but it may have finished before, and the worker lists its result
@@ -40,10 +41,20 @@
     return;
   if (!Worker.Runs_.empty() && !abandonRuns(Worker))
     return;
+  noteLeaseEnd(Worker);
   if (!Worker.Registered_)
     endIncarnation(Worker, "unlisted-and-lease-expired");
 }
 
+// A later coordinator need not wait for a lease that is known to have ended. A
+// recovery first gives up the runs of workers that did not answer.
+void Coordinator::Impl::noteLeaseEnd(WorkerEntry &Worker) {
+  if ((Recovering_ && !Worker.Polled_) ||
+      !std::exchange(Worker.MayHoldLease_, false))
+    return;
+  markUsedWorkersDirty();
+}
+
 // Long-running tasks never finish, so they start again at once. The others
 // wait until the abandonment is recorded: a later coordinator must not
 // acknowledge their results either. Returns false while any run is left.
@@ -70,7 +81,7 @@
   if (Worker.RunsAbandoned_)
     return;
   Worker.RunsAbandoned_ = true;
-  UsedWorkersDirty_ = true;
+  markUsedWorkersDirty();
 }
 
 // Keeps the abandonment on record after the worker's entry is removed.
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -24,6 +24,12 @@
   DirtyJobs_.push_back(Job.Id_);
 }
 
+void Coordinator::Impl::markUsedWorkersDirty() {
+  if (!UsedWorkersDirty_)
+    UsedWorkersDirtySince_ = now();
+  UsedWorkersDirty_ = true;
+}
+
 JobProgress Coordinator::Impl::progressRecord(const JobEntry &Job) const {
   JobProgress Out;
   Out.State_ = Job.State_;
@@ -58,12 +64,15 @@
 
 std::string Coordinator::Impl::usedWorkersRecord() const {
   std::vector<internal::UsedWorker> Out;
-  for (const WorkerEntry *Worker : WorkerOrder_)
+  for (const WorkerEntry *Worker : WorkerOrder_) {
+    bool MayHoldLongestLease = now() < Worker->LongestLeaseUntil_;
     Out.push_back({Worker->Info_.Id_, Worker->Info_.Address_,
-                   Worker->Info_.StartTimeMs_,
-                   now() < Worker->LongestLeaseUntil_, Worker->RunsAbandoned_});
+                   Worker->Info_.StartTimeMs_, MayHoldLongestLease,
+                   Worker->RunsAbandoned_,
+                   !Worker->MayHoldLease_ && !MayHoldLongestLease});
+  }
   for (const auto &[Id, Gone] : AbandonedIncarnations_)
-    Out.push_back({Id, Gone.Address_, Gone.StartTimeMs_, false, true});
+    Out.push_back({Id, Gone.Address_, Gone.StartTimeMs_, false, true, true});
   return internal::encodeUsedWorkers(Out);
 }
 
@@ -74,7 +83,10 @@
       !DirtyJobs_.empty() &&
       (CommitUrgent_ || DirtyJobs_.size() >= Settings_.MaxCommitWrites_ ||
        now() - DirtyJobsSince_ >= Settings_.Times_.CommitBatchDelay_);
-  if (!Due && !UsedWorkersDirty_)
+  bool UsedWorkersDue =
+      UsedWorkersDirty_ &&
+      now() - UsedWorkersDirtySince_ >= Settings_.Times_.CommitBatchDelay_;
+  if (!Due && !UsedWorkersDue)
     return;
   CommitBatch Batch;
   Batch.Number_ = NextCommitNumber_++;
@@ -82,9 +94,13 @@
   InFlightCommit_->Number_ = Batch.Number_;
   if (UsedWorkersDirty_) {
     UsedWorkersDirty_ = false;
+    InFlightCommit_->RecordsUsedWorkers_ = true;
     Batch.Writes_.emplace_back(UsedWorkersKey, usedWorkersRecord());
-    for (const WorkerEntry *Worker : WorkerOrder_) {
-      InFlightCommit_->Workers_.push_back(Worker->Info_.Id_);
+    for (WorkerEntry *Worker : WorkerOrder_) {
+      if (Worker->MayHoldLease_)
+        InFlightCommit_->LeaseHolders_.push_back(Worker->Info_.Id_);
+      else
+        Worker->RecordDurable_ = false;
       if (Worker->RunsAbandoned_)
         InFlightCommit_->AbandonedWorkers_.push_back(Worker->Info_.Id_);
     }
@@ -119,7 +135,8 @@
   }
   if (Result == CommitResult::Unconfirmed) {
     CommitRetryAt_ = now() + CommitRetryDelay;
-    UsedWorkersDirty_ = UsedWorkersDirty_ || !Finished.Workers_.empty();
+    if (Finished.RecordsUsedWorkers_)
+      markUsedWorkersDirty();
     for (const auto &[Id, Version] : Finished.Versions_)
       if (JobEntry *Job = findJob(Id); Job != nullptr && !Job->CommitQueued_) {
         Job->CommitQueued_ = true;
@@ -127,7 +144,7 @@
       }
     return;
   }
-  for (const std::string &Id : Finished.Workers_)
+  for (const std::string &Id : Finished.LeaseHolders_)
     if (auto It = Workers_.find(Id); It != Workers_.end()) {
       It->second->RecordDurable_ = true;
       PlacementRequested_ = true;
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -158,6 +158,7 @@
   void rememberAbandonment(const WorkerEntry &Worker);
   void restoreAbandonment(WorkerEntry &Worker);
   void forgetOldIncarnations();
+  void noteLeaseEnd(WorkerEntry &Worker);
   //! Acknowledging the result would count its task twice: it was started again.
   bool mustHoldBack(WorkerEntry &Worker, const WorkerReport &Report,
                     const RunResult &Result);
@@ -235,6 +236,7 @@
 
   // Commits.cpp: writes of progress to the store.
   void markDirty(JobEntry &Job);
+  void markUsedWorkersDirty();
   void commitIfDue();
   JobProgress progressRecord(const JobEntry &Job) const;
   std::string usedWorkersRecord() const;
@@ -299,6 +301,8 @@
   uint64_t WithheldPasses_ = 0;
 
   bool Recovering_ = false;
+  //! All workers that may hold a lease of an earlier term are known.
+  bool UsedWorkersComplete_ = true;
   base::TimePoint RecoveryStartedAt_;
   base::TimePoint RecoveryEndedAt_;
   base::TimePoint NextRecoveryLogAt_;
@@ -314,11 +318,14 @@
   base::TimePoint DirtyJobsSince_;
   bool CommitUrgent_ = false;
   bool UsedWorkersDirty_ = false;
+  base::TimePoint UsedWorkersDirtySince_;
   struct InFlightCommit {
     uint64_t Number_ = 0;
     std::vector<std::pair<std::string, uint64_t>> Versions_;
-    std::vector<std::string> Workers_;
-    //! Those of Workers_ that are recorded with RunsAbandoned_.
+    bool RecordsUsedWorkers_ = false;
+    //! Workers that are recorded as holding a lease.
+    std::vector<std::string> LeaseHolders_;
+    //! Workers that are recorded with RunsAbandoned_.
     std::vector<std::string> AbandonedWorkers_;
   };
   std::optional<InFlightCommit> InFlightCommit_;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -129,8 +129,12 @@
     Worker.Polled_ = true;
     PlacementRequested_ = true;
   }
+  if (!Worker.MayHoldLease_) {
+    Worker.MayHoldLease_ = true;
+    Worker.RecordDurable_ = false;
+    markUsedWorkersDirty();
+  }
   recordClock(Worker, Report.ClockMs_);
-  std::string Id = Worker.Info_.Id_;
   // Runs of an earlier term must be adopted before results are processed.
   for (const RunStatus &Status : Report.Running_) {
     RunEntry *Run = findRunOnWorker(Worker, Status.Task_, Status.Run_);
@@ -179,7 +183,7 @@
   if (Worker.RunsAbandoned_ && Worker.HeldBackSequence_ == 0) {
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
         Worker.AbandonedInEarlierTerm_ = false;
-    UsedWorkersDirty_ = true;
+    markUsedWorkersDirty();
   }
 }
 
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -198,7 +198,10 @@
   bool InfoConfirmed_ = false;
   //! It was polled in this term, so it knows this term's fencing token.
   bool Polled_ = false;
-  //! The record of used workers that names it is durable.
+  //! It has answered since its last lease ended, so it may hold one. Unset, it
+  //! is recorded with LeaseEnded_.
+  bool MayHoldLease_ = false;
+  //! The record of used workers that says so is durable.
   bool RecordDurable_ = false;
   std::optional<ClockSample> Clock_;
   //! Latest time at which any lease of this incarnation can expire.
--- a/src/jobs/internal/UsedWorkers.cpp
+++ b/src/jobs/internal/UsedWorkers.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t RowSize = 3;
 constexpr std::size_t LongestLeaseIndex = 3;
 constexpr std::size_t AbandonedIndex = 4;
+constexpr std::size_t LeaseEndedIndex = 5;
 
 std::optional<UsedWorker> decodeRow(const json &Row) {
   if (!Row.is_array() || Row.size() < RowSize || !Row[0].is_string() ||
@@ -28,6 +29,7 @@
   };
   Out.MayHoldLongestLease_ = Flag(LongestLeaseIndex);
   Out.RunsAbandoned_ = Flag(AbandonedIndex);
+  Out.LeaseEnded_ = Flag(LeaseEndedIndex);
   return Out;
 }
 
@@ -37,32 +39,35 @@
   json Rows = json::array();
   for (const UsedWorker &Each : Workers) {
     json Row = {Each.Id_, Each.Address_, Each.StartTimeMs_};
-    if (Each.MayHoldLongestLease_ || Each.RunsAbandoned_) {
+    if (Each.MayHoldLongestLease_ || Each.RunsAbandoned_ || Each.LeaseEnded_) {
       Row.push_back(Each.MayHoldLongestLease_);
       Row.push_back(Each.RunsAbandoned_);
+      Row.push_back(Each.LeaseEnded_);
     }
     Rows.push_back(std::move(Row));
   }
   return Rows.dump();
 }
 
-std::vector<UsedWorker> decodeUsedWorkers(const std::string &Record) {
-  std::vector<UsedWorker> Out;
+UsedWorkers decodeUsedWorkers(const std::string &Record) {
+  UsedWorkers Out;
   json Rows = json::parse(Record, nullptr, false);
   if (!Rows.is_array()) {
     base::logEvent(base::LogLevel::Error, "used-workers-unreadable",
                    {{"bytes", static_cast<int64_t>(Record.size())}});
+    Out.Complete_ = false;
     return Out;
   }
   int64_t Unreadable = 0;
   for (const json &Row : Rows)
     if (auto Decoded = decodeRow(Row))
-      Out.push_back(std::move(*Decoded));
+      Out.Rows_.push_back(std::move(*Decoded));
     else
       ++Unreadable;
   if (Unreadable > 0)
     base::logEvent(base::LogLevel::Error, "used-workers-unreadable",
                    {{"rows", Unreadable}});
+  Out.Complete_ = Unreadable == 0;
   return Out;
 }
 
--- a/src/jobs/internal/UsedWorkers.h
+++ b/src/jobs/internal/UsedWorkers.h
@@ -17,12 +17,20 @@
   bool MayHoldLongestLease_ = false;
   //! Runs on it were given up and their tasks started elsewhere.
   bool RunsAbandoned_ = false;
+  //! It holds no lease, and none is granted before its row says otherwise.
+  bool LeaseEnded_ = false;
+};
+
+struct UsedWorkers {
+  std::vector<UsedWorker> Rows_;
+  //! False if a row was unreadable, so that workers may be missing.
+  bool Complete_ = true;
 };
 
 //! A JSON array with one row for each worker: id, address, start time and, if
 //! any is set, the flags in the order of UsedWorker.
 std::string encodeUsedWorkers(const std::vector<UsedWorker> &Workers);
 //! Leaves out rows of another shape and logs them.
-std::vector<UsedWorker> decodeUsedWorkers(const std::string &Record);
+UsedWorkers decodeUsedWorkers(const std::string &Record);
 
 } // namespace crocuslead::jobs::internal
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -45,7 +45,7 @@
     expectLongestLease(*Worker, It->second);
   restoreAbandonment(*Worker);
   startProbation(*Worker, "worker-found");
-  UsedWorkersDirty_ = true;
+  markUsedWorkersDirty();
   return *Worker;
 }
 
@@ -87,7 +87,7 @@
     Worker.InfoConfirmed_ = true;
     bool StartsDraining = Info.Draining_ && !Worker.Info_.Draining_;
     if (Info.Address_ != Worker.Info_.Address_)
-      UsedWorkersDirty_ = true;
+      markUsedWorkersDirty();
     Worker.Info_ = Info;
     if (!Worker.Registered_) {
       Worker.Registered_ = true;
@@ -153,7 +153,8 @@
       now() + boundOnWorkerClock(Settings_.Times_.LeaseDuration_) +
       PredecessorLeaseGrace;
   for (auto &[Id, Worker] : Workers_)
-    Worker->LatestLeaseEnd_ = std::max(Worker->LatestLeaseEnd_, UsualEnd);
+    if (Worker->MayHoldLease_ || !UsedWorkersComplete_)
+      Worker->LatestLeaseEnd_ = std::max(Worker->LatestLeaseEnd_, UsualEnd);
   base::logEvent(base::LogLevel::Info, "recovery-started",
                  {{"term", Settings_.Term_},
                   {"jobs", static_cast<int64_t>(Jobs_.size())},
@@ -162,8 +163,17 @@
 }
 
 void Coordinator::Impl::restoreUsedWorkers(const std::string &Record) {
-  for (const internal::UsedWorker &Used : internal::decodeUsedWorkers(Record)) {
-    if (Workers_.count(Used.Id_) == 0) {
+  internal::UsedWorkers Read = internal::decodeUsedWorkers(Record);
+  UsedWorkersComplete_ = Read.Complete_;
+  for (const internal::UsedWorker &Used : Read.Rows_) {
+    bool Listed = Workers_.count(Used.Id_) > 0;
+    if (!Listed && Used.LeaseEnded_) {
+      if (Used.RunsAbandoned_)
+        AbandonedIncarnations_[Used.Id_] = {Used.Address_, Used.StartTimeMs_,
+                                            true, now()};
+      continue;
+    }
+    if (!Listed) {
       WorkerInfo Info;
       Info.Id_ = Used.Id_;
       Info.Address_ = Used.Address_;
@@ -176,6 +186,7 @@
     // the recorded one may have reached it.
     if (Used.MayHoldLongestLease_ || !SameIncarnation)
       expectLongestLease(Worker, now() + PredecessorLeaseGrace);
+    Worker.MayHoldLease_ = !Used.LeaseEnded_ || !SameIncarnation;
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
         Worker.AbandonedInEarlierTerm_ = Used.RunsAbandoned_ && SameIncarnation;
   }
@@ -194,9 +205,11 @@
   for (const auto &[Id, Worker] : Workers_) {
     if (Worker->Polled_)
       continue;
-    AllAnswered = false;
     if (Now < Worker->LatestLeaseEnd_)
       return;
+    if (!Worker->MayHoldLease_)
+      continue;
+    AllAnswered = false;
     AllDurable = AllDurable && Worker->AbandonmentDurable_;
   }
   if (AllDurable) {
@@ -206,7 +219,7 @@
   }
   // What the others ran is started again, so their results must not count.
   for (auto &[Id, Worker] : Workers_)
-    if (!Worker->Polled_) {
+    if (!Worker->Polled_ && Worker->MayHoldLease_) {
       markAbandoned(*Worker);
       Worker->AbandonedInEarlierTerm_ = true;
     }
@@ -217,7 +230,7 @@
   int64_t Unlisted = 0;
   const WorkerEntry *Last = nullptr;
   for (const WorkerEntry *Worker : WorkerOrder_) {
-    if (Worker->Polled_)
+    if (Worker->Polled_ || now() >= Worker->LatestLeaseEnd_)
       continue;
     ++(Worker->Registered_ ? Listed : Unlisted);
     if (Last == nullptr || Worker->LatestLeaseEnd_ > Last->LatestLeaseEnd_)
@@ -289,7 +302,7 @@
     EarlierLeases_[Id] = *Worker.LastLeaseGrantAt_;
   rememberAbandonment(Worker);
   Workers_.erase(Id);
-  UsedWorkersDirty_ = true;
+  markUsedWorkersDirty();
   PlacementRequested_ = true;
   // The registry has an entry for the next incarnation under this id, or soon
   // will; its start time is not known yet.
--- /dev/null
+++ b/tests/jobs/Takeover.tests.cpp
@@ -0,0 +1,105 @@
+#include "jobs/JobWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Several round trips and two commits.
+constexpr auto PromptRecovery = milliseconds(500);
+
+//! A coordinator with a running job and three workers.
+struct ThreeWorkers {
+  ThreeWorkers() {
+    for (const char *Id : {"w0", "w1", "w2"})
+      World_.addWorker(Id);
+    World_.startSuccessor();
+    World_.RunDuration_ = seconds(2);
+    World_.submit("a", chainJob(30, 6, 8'000));
+    World_.run(seconds(3));
+  }
+  void loseWorker(const std::string &Id) {
+    World_.crashWorker(Id);
+    World_.run(seconds(8));
+  }
+  //! From now on the registry has no entry of the worker.
+  void unlist(const std::string &Id) {
+    World_.worker(Id).Info_.Id_.clear();
+    World_.publishWorkers();
+  }
+  bool recoversPromptly() {
+    World_.startSuccessor();
+    World_.run(PromptRecovery);
+    return !World_.Coordinator_->stats().Recovering_;
+  }
+  ~ThreeWorkers() {
+    for (const std::string &Violation : World_.Oracle_.Violations_)
+      FAIL_CHECK(Violation);
+  }
+
+  JobWorld World_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(ThreeWorkers, "A takeover does not wait for workers that its "
+                                "predecessor knew to be gone") {
+  unlist("w2");
+  loseWorker("w2");
+  CHECK(recoversPromptly());
+  World_.run(seconds(3));
+  CHECK(recoversPromptly());
+}
+
+TEST_CASE_FIXTURE(ThreeWorkers, "A takeover does not wait for a listed worker "
+                                "whose lease had ended") {
+  loseWorker("w2");
+  CHECK(recoversPromptly());
+}
+
+TEST_CASE_FIXTURE(ThreeWorkers,
+                  "A takeover does not wait for a worker that never answered") {
+  World_.addWorker("w3");
+  World_.worker("w3").DropsRequests_ = true;
+  World_.run(seconds(1));
+  CHECK(recoversPromptly());
+}
+
+TEST_CASE_FIXTURE(ThreeWorkers, "A takeover waits for a worker that was lost "
+                                "just before") {
+  World_.crashWorker("w2");
+  CHECK_FALSE(recoversPromptly());
+  World_.run(seconds(7));
+  CHECK_FALSE(World_.Coordinator_->stats().Recovering_);
+}
+
+TEST_CASE_FIXTURE(ThreeWorkers, "A worker that answers again gets no task "
+                                "before its return is recorded") {
+  World_.worker("w2").DropsRequests_ = true;
+  World_.run(seconds(8));
+  World_.StoreDown_ = true;
+  World_.worker("w2").DropsRequests_ = false;
+  World_.run(seconds(3));
+  REQUIRE(World_.Coordinator_->stats().ReachableWorkers_ == 3);
+  CHECK(World_.worker("w2").Runs_.empty());
+  World_.StoreDown_ = false;
+  World_.run(seconds(4));
+  CHECK_FALSE(World_.worker("w2").Runs_.empty());
+  World_.worker("w2").DropsRequests_ = true;
+  CHECK_FALSE(recoversPromptly());
+}
+
+TEST_CASE_FIXTURE(ThreeWorkers, "With an unreadable record of used workers a "
+                                "takeover waits for every lease") {
+  World_.crashWorker("w2");
+  World_.Stored_[Coordinator::UsedWorkersKey] = "[[1]]";
+  CHECK_FALSE(recoversPromptly());
+  World_.run(seconds(7));
+  CHECK_FALSE(World_.Coordinator_->stats().Recovering_);
+}
+
+} // namespace crocuslead::jobs::test
