Limit the starts by replies to starts, once for each delay of the path

The fleet stood idle beside the backlog, so callers of all kinds were late.

Cause, three parts of one control loop: replies to the polls of a takeover, late because 5,000 runs are adopted meanwhile, counted against the starts, even with none in flight; each round of the same delay reduced the limit once more; and the limit grew only if it happened to be reached when it was adapted, by an eighth.

Change: only replies to starts that were sent after the last reduction reduce the limit, by half; a withheld start is noted when it happens; a round without a slow reply lets the limit grow by half. Polls are still spaced out by all replies.

--- a/src/jobs/internal/CongestionControl.cpp
+++ b/src/jobs/internal/CongestionControl.cpp
@@ -12,52 +12,88 @@
 // single workers; below the lower one the path has room.
 constexpr double CongestedShare = 0.25;
 constexpr double ClearShare = 0.05;
-constexpr double DecreaseFactor = 0.6;
-// The limit grows by this part of it in a round.
+constexpr double DecreaseFactor = 0.5;
+// The limit grows by this part of it in a round, and in a round without any
+// slow reply. A path that is exactly full takes one and a half times as long
+// after such a step, which is still below the time after which a request is
+// given up.
 constexpr std::size_t GrowthDivisor = 8;
+constexpr std::size_t ClearGrowthDivisor = 2;
 constexpr base::Duration FirstPollPause = std::chrono::milliseconds(40);
 constexpr base::Duration LeastPollPause = std::chrono::milliseconds(10);
 
 } // namespace
 
-void CongestionControl::recordReply(base::Duration Time) {
-  ++Replies_;
-  if (Time > SlowReply)
-    ++SlowReplies_;
+void CongestionControl::recordStart(std::size_t StartsInFlight) {
+  MostInFlight_ = std::max(MostInFlight_, StartsInFlight);
 }
 
-void CongestionControl::recordLoss() {
-  ++Replies_;
-  ++SlowReplies_;
+// What was sent before the limit was reduced says nothing about the new limit.
+void CongestionControl::addStart(base::TimePoint SentAt, bool Slow) {
+  All_.add(Slow);
+  if (SentAt >= LimitReducedAt_)
+    Starts_.add(Slow);
 }
 
-void CongestionControl::adapt(base::TimePoint Now, std::size_t StartsInFlight) {
-  LimitReached_ = LimitReached_ || StartsInFlight >= MaxStartsInFlight_;
-  if (Now < RoundEnd_ || Replies_ < MinReplies)
+void CongestionControl::recordStartReply(base::TimePoint SentAt,
+                                         base::Duration Time) {
+  addStart(SentAt, Time > SlowReply);
+}
+
+void CongestionControl::recordStartLoss(base::TimePoint SentAt) {
+  addStart(SentAt, true);
+}
+
+void CongestionControl::recordPollReply(base::Duration Time) {
+  All_.add(Time > SlowReply);
+}
+
+void CongestionControl::recordPollLoss() { All_.add(true); }
+
+void CongestionControl::adapt(base::TimePoint Now) {
+  if (Now < RoundEnd_)
     return;
-  double SlowShare =
-      static_cast<double>(SlowReplies_) / static_cast<double>(Replies_);
+  RoundEnd_ = Now + RoundTime;
+  if (Starts_.Count_ >= MinReplies) {
+    adaptLimit(Now);
+    Starts_ = {};
+    MostInFlight_ = 0;
+    LimitReached_ = false;
+  }
+  if (All_.Count_ >= MinReplies) {
+    adaptPolls();
+    All_ = {};
+  }
+}
+
+void CongestionControl::adaptLimit(base::TimePoint Now) {
+  double SlowShare = Starts_.slowShare();
+  if (SlowShare > CongestedShare) {
+    std::size_t Used = std::min(
+        MaxStartsInFlight_, std::max(MostInFlight_, LeastStartsInFlight * 2));
+    MaxStartsInFlight_ = std::max(
+        LeastStartsInFlight,
+        static_cast<std::size_t>(static_cast<double>(Used) * DecreaseFactor));
+    LimitReducedAt_ = Now;
+  } else if (SlowShare < ClearShare && LimitReached_) {
+    std::size_t Divisor =
+        Starts_.Slow_ == 0 ? ClearGrowthDivisor : GrowthDivisor;
+    MaxStartsInFlight_ =
+        std::min(MostStartsInFlight,
+                 MaxStartsInFlight_ + 1 + MaxStartsInFlight_ / Divisor);
+  }
+}
+
+void CongestionControl::adaptPolls() {
+  double SlowShare = All_.slowShare();
   if (SlowShare > CongestedShare) {
-    auto Reduced = static_cast<std::size_t>(
-        static_cast<double>(
-            std::min(MaxStartsInFlight_,
-                     std::max(StartsInFlight, LeastStartsInFlight * 2))) *
-        DecreaseFactor);
-    MaxStartsInFlight_ = std::max(LeastStartsInFlight, Reduced);
     PollPause_ =
         std::min(MaxPollPause, std::max(FirstPollPause, PollPause_ * 3 / 2));
   } else if (SlowShare < ClearShare) {
-    if (LimitReached_)
-      MaxStartsInFlight_ =
-          std::min(MostStartsInFlight,
-                   MaxStartsInFlight_ + 1 + MaxStartsInFlight_ / GrowthDivisor);
     PollPause_ = PollPause_ * 3 / 4;
     if (PollPause_ < LeastPollPause)
       PollPause_ = {};
   }
-  Replies_ = SlowReplies_ = 0;
-  LimitReached_ = false;
-  RoundEnd_ = Now + RoundTime;
 }
 
 } // namespace crocuslead::jobs::internal
--- a/src/jobs/internal/CongestionControl.h
+++ b/src/jobs/internal/CongestionControl.h
@@ -7,19 +7,27 @@
 namespace crocuslead::jobs::internal {
 
 //! Keeps the requests to workers within what the links and processors on the
-//! way take in time. When many replies are slow or missing, fewer starts are
-//! kept in flight and polls become rarer; tasks then wait in the order of the
-//! queue instead of in the network. Losses at a few workers have no effect.
+//! way take in time. When many replies to starts are slow or missing, fewer
+//! starts are kept in flight; tasks then wait in the order of the queue instead
+//! of in the network. When replies of any kind are, polls become rarer. Losses
+//! at a few workers have no effect.
 class CongestionControl {
 public:
-  //! Reply to a request that was answered after Time, not counting the time for
-  //! which the worker was asked to wait.
-  void recordReply(base::Duration Time);
-  //! A request to a worker that answered before got no reply.
-  void recordLoss();
+  //! A start request was sent; StartsInFlight includes it.
+  void recordStart(std::size_t StartsInFlight);
+  //! A task was not started because the limit was reached.
+  void recordWithheld() { LimitReached_ = true; }
+  //! Reply to a start that was sent at SentAt and took Time.
+  void recordStartReply(base::TimePoint SentAt, base::Duration Time);
+  //! A start that was sent at SentAt got no reply.
+  void recordStartLoss(base::TimePoint SentAt);
+  //! Reply to a poll that took Time, not counting the time for which the worker
+  //! was asked to wait.
+  void recordPollReply(base::Duration Time);
+  //! A poll of a worker that answered before got no reply.
+  void recordPollLoss();
   //! Adapts the limits once in every RoundTime; to be called often.
-  //! StartsInFlight is the present number.
-  void adapt(base::TimePoint Now, std::size_t StartsInFlight);
+  void adapt(base::TimePoint Now);
 
   //! Replies were slow lately, so polls are spaced out.
   bool congested() const { return PollPause_.count() > 0; }
@@ -38,10 +46,29 @@
   static constexpr base::Duration MaxPollPause = std::chrono::milliseconds(800);
 
 private:
-  std::size_t Replies_ = 0;
-  std::size_t SlowReplies_ = 0;
+  //! Replies of one round.
+  struct Replies {
+    std::size_t Count_ = 0;
+    std::size_t Slow_ = 0;
+    void add(bool Slow) {
+      ++Count_;
+      Slow_ += Slow ? 1 : 0;
+    }
+    double slowShare() const {
+      return static_cast<double>(Slow_) / static_cast<double>(Count_);
+    }
+  };
+
+  void addStart(base::TimePoint SentAt, bool Slow);
+  void adaptLimit(base::TimePoint Now);
+  void adaptPolls();
+
+  Replies Starts_;
+  Replies All_;
+  std::size_t MostInFlight_ = 0;
   bool LimitReached_ = false;
   base::TimePoint RoundEnd_;
+  base::TimePoint LimitReducedAt_;
   std::size_t MaxStartsInFlight_ = InitialStartsInFlight;
   base::Duration PollPause_{};
 };
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -314,8 +314,10 @@
   base::TimePoint Now = now();
   for (Urgency Level : {Urgency::Serving, Urgency::Useful, Urgency::Overdue})
     placeSteps(Level, Now);
-  if (!maySendStart() && !ReadySteps_.empty())
+  if (!maySendStart() && !ReadySteps_.empty()) {
     ++WithheldPasses_;
+    Congestion_.recordWithheld();
+  }
 }
 
 // Long-running tasks come first because their service is degraded whenever they
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -96,14 +96,14 @@
     replaceIncarnation(Worker, NewInfo);
     return;
   }
-  Congestion_.recordReply(now() - Worker.PollSentAt_ - Worker.PollWait_);
+  Congestion_.recordPollReply(now() - Worker.PollSentAt_ - Worker.PollWait_);
   applyReport(Worker, Reply.Report_, Worker.PollSentAt_);
 }
 
 void Coordinator::Impl::onPollFailure(WorkerEntry &Worker,
                                       RequestStatus Status) {
   if (Worker.PollFailures_ == 0)
-    Congestion_.recordLoss();
+    Congestion_.recordPollLoss();
   markPollFailure(Worker);
   if (Worker.PollFailures_ == WorkerEntry::UnreachablePollFailures) {
     Stability_.recordLoss(Worker.Info_.Id_, now());
@@ -203,7 +203,7 @@
 
 void Coordinator::Impl::adaptToCongestion() {
   bool Before = Congestion_.congested();
-  Congestion_.adapt(now(), StartsInFlight_);
+  Congestion_.adapt(now());
   if (Congestion_.congested() == Before)
     return;
   base::logEvent(
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -144,6 +144,7 @@
                   {"term", Settings_.Term_}});
   ++StartsInFlight_;
   ++Starts_;
+  Congestion_.recordStart(StartsInFlight_);
   Port_.start(addressOf(Worker), Request,
               [Weak = weak_from_this(), Serial = Run.Serial_,
                SentAt = now()](const RequestReply &Reply) {
@@ -159,9 +160,9 @@
   --StartsInFlight_;
   if (Reply.Status_ == RequestStatus::Unknown ||
       Reply.Status_ == RequestStatus::NotSent)
-    Congestion_.recordLoss();
+    Congestion_.recordStartLoss(SentAt);
   else
-    Congestion_.recordReply(now() - SentAt);
+    Congestion_.recordStartReply(SentAt, now() - SentAt);
   RunEntry *Run = findRun(Serial);
   if (Run == nullptr || Superseded_)
     return;
--- a/tests/jobs/CongestionControl.tests.cpp
+++ b/tests/jobs/CongestionControl.tests.cpp
@@ -8,53 +8,111 @@
 
 using std::chrono::milliseconds;
 
-//! Plays rounds in which Slow of 100 replies are slow and the limit is reached.
-void playRounds(CongestionControl &Control, int Rounds, int Slow) {
-  static base::TimePoint Now;
-  for (int Round = 0; Round < Rounds; ++Round) {
-    for (int I = 0; I < 100; ++I)
-      if (I < Slow)
-        Control.recordLoss();
-      else
-        Control.recordReply(milliseconds(5));
-    Now += CongestionControl::RoundTime;
-    Control.adapt(Now, Control.maxStartsInFlight());
+constexpr auto FastReply = milliseconds(5);
+constexpr auto LateReply = CongestionControl::SlowReply + milliseconds(1);
+
+//! A coordinator that always has more tasks to start than the limit allows.
+struct BusyCoordinator {
+  //! Plays rounds in which Slow of 100 replies to starts are lost.
+  void playRounds(int Rounds, int Slow) {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      Control_.recordStart(Control_.maxStartsInFlight());
+      Control_.recordWithheld();
+      for (int I = 0; I < 100; ++I)
+        if (I < Slow)
+          Control_.recordStartLoss(Now_);
+        else
+          Control_.recordStartReply(Now_, FastReply);
+      endRound();
+    }
   }
-}
+  void endRound() {
+    Now_ += CongestionControl::RoundTime;
+    Control_.adapt(Now_);
+  }
+
+  base::TimePoint Now_{std::chrono::hours(1)};
+  CongestionControl Control_;
+};
 
 } // namespace
 
-TEST_CASE("Lost replies on the common path reduce starts and polls down to a "
-          "minimum") {
-  CongestionControl Control;
-  playRounds(Control, 20, 60);
-  CHECK(Control.maxStartsInFlight() == CongestionControl::LeastStartsInFlight);
-  CHECK(Control.pollPause() == CongestionControl::MaxPollPause);
+TEST_CASE_FIXTURE(BusyCoordinator,
+                  "Lost replies on the common path reduce starts and polls "
+                  "down to a minimum") {
+  playRounds(20, 60);
+  CHECK(Control_.maxStartsInFlight() == CongestionControl::LeastStartsInFlight);
+  CHECK(Control_.pollPause() == CongestionControl::MaxPollPause);
 }
 
-TEST_CASE("A tenth of the workers that do not answer reduces nothing") {
-  CongestionControl Control;
-  playRounds(Control, 20, 10);
-  CHECK(Control.maxStartsInFlight() ==
+TEST_CASE_FIXTURE(BusyCoordinator,
+                  "A tenth of the workers that do not answer reduces nothing") {
+  playRounds(20, 10);
+  CHECK(Control_.maxStartsInFlight() ==
         CongestionControl::InitialStartsInFlight);
-  CHECK(Control.pollPause() == base::Duration{});
+  CHECK(Control_.pollPause() == base::Duration{});
 }
 
-TEST_CASE("The limit recovers after a congestion") {
-  CongestionControl Control;
-  playRounds(Control, 20, 60);
-  playRounds(Control, 60, 0);
-  CHECK(Control.maxStartsInFlight() >=
+TEST_CASE_FIXTURE(BusyCoordinator, "The limit recovers after a congestion") {
+  playRounds(20, 60);
+  playRounds(60, 0);
+  CHECK(Control_.maxStartsInFlight() >=
         CongestionControl::InitialStartsInFlight);
-  CHECK(Control.pollPause() == base::Duration{});
+  CHECK(Control_.pollPause() == base::Duration{});
 }
 
-TEST_CASE("Replies that come late count as congestion") {
-  CongestionControl Control;
+// Guards against a fleet that stands idle beside a backlog for many seconds.
+TEST_CASE_FIXTURE(BusyCoordinator,
+                  "The limit recovers within 3 s on a clear path") {
+  playRounds(20, 60);
+  playRounds(12, 0);
+  CHECK(Control_.maxStartsInFlight() >=
+        CongestionControl::InitialStartsInFlight);
+}
+
+TEST_CASE_FIXTURE(BusyCoordinator, "Replies that come late count as "
+                                   "congestion") {
+  Control_.recordStart(100);
   for (int I = 0; I < 100; ++I)
-    Control.recordReply(CongestionControl::SlowReply + milliseconds(1));
-  Control.adapt(base::TimePoint(CongestionControl::RoundTime), 100);
-  CHECK(Control.maxStartsInFlight() < CongestionControl::InitialStartsInFlight);
+    Control_.recordStartReply(Now_, LateReply);
+  endRound();
+  CHECK(Control_.maxStartsInFlight() <
+        CongestionControl::InitialStartsInFlight);
+}
+
+// Guards against a takeover that ends with the lowest limit.
+TEST_CASE_FIXTURE(BusyCoordinator,
+                  "Late replies to polls do not reduce the starts in flight") {
+  for (int Round = 0; Round < 5; ++Round) {
+    for (int I = 0; I < 100; ++I)
+      Control_.recordPollReply(LateReply);
+    endRound();
+  }
+  CHECK(Control_.maxStartsInFlight() ==
+        CongestionControl::InitialStartsInFlight);
+  CHECK(Control_.congested());
+}
+
+TEST_CASE_FIXTURE(BusyCoordinator, "One delay of the path reduces the limit "
+                                   "once, however long its replies trickle") {
+  base::TimePoint Sent = Now_;
+  Control_.recordStart(CongestionControl::InitialStartsInFlight);
+  for (int Round = 0; Round < 5; ++Round) {
+    for (int I = 0; I < 50; ++I)
+      Control_.recordStartReply(Sent, LateReply);
+    endRound();
+  }
+  CHECK(Control_.maxStartsInFlight() ==
+        CongestionControl::InitialStartsInFlight / 2);
+}
+
+TEST_CASE_FIXTURE(BusyCoordinator,
+                  "A limit that holds nothing back does not grow") {
+  for (int I = 0; I < 100; ++I)
+    Control_.recordStartReply(Now_, FastReply);
+  endRound();
+  CHECK(Control_.maxStartsInFlight() ==
+        CongestionControl::InitialStartsInFlight);
 }
 
 } // namespace crocuslead::jobs::internal::test
--- a/tests/jobs/Takeover.tests.cpp
+++ b/tests/jobs/Takeover.tests.cpp
@@ -102,4 +102,30 @@
   CHECK_FALSE(World_.Coordinator_->stats().Recovering_);
 }
 
+// Guards against a limit of starts that collapses because the polls of a
+// takeover are answered late.
+TEST_CASE("A takeover with late reports does not hold back the starts after "
+          "it") {
+  constexpr int Workers = 300;
+  constexpr uint32_t Tasks = 3'000;
+  JobWorld World;
+  for (int I = 0; I < Workers; ++I)
+    World.addWorker("w" + std::to_string(I));
+  World.startSuccessor();
+  World.run(seconds(1));
+  // The reports take up to half a second.
+  World.LinkRequestsPerSecond_ = 2 * Workers;
+  World.startSuccessor();
+  World.run(milliseconds(600));
+  World.LinkRequestsPerSecond_ = 0;
+  World.run(seconds(1));
+  REQUIRE_FALSE(World.Coordinator_->stats().Recovering_);
+  World.RunDuration_ = seconds(20);
+  World.submit("a", chainJob(1, Tasks));
+  World.run(seconds(2));
+  CHECK(World.Coordinator_->stats().Starts_ == Tasks);
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
 } // namespace crocuslead::jobs::test
