Keep the starts in flight below a queueing delay of 80 ms

Cause: a reply counted as slow above 300 ms whatever its way, so the limit grew until the process itself was the queue.

Change: a reply to a start is slow as well if it took 80 ms more than the shortest one of its worker, which does not punish long ways. Tasks wait in the order of the queue instead.

The new case of the limit needs the new argument.

--- a/src/jobs/internal/CongestionControl.cpp
+++ b/src/jobs/internal/CongestionControl.cpp
@@ -30,17 +30,19 @@
 
 // What was sent before the limit was reduced says nothing about the new limit.
 void CongestionControl::addStart(base::TimePoint SentAt, bool Slow) {
-  All_.add(Slow);
   if (SentAt >= LimitReducedAt_)
     Starts_.add(Slow);
 }
 
 void CongestionControl::recordStartReply(base::TimePoint SentAt,
-                                         base::Duration Time) {
-  addStart(SentAt, Time > SlowReply);
+                                         base::Duration Time,
+                                         base::Duration QueueingDelay) {
+  All_.add(Time > SlowReply);
+  addStart(SentAt, Time > SlowReply || QueueingDelay > MaxQueueingDelay);
 }
 
 void CongestionControl::recordStartLoss(base::TimePoint SentAt) {
+  All_.add(true);
   addStart(SentAt, true);
 }
 
--- a/src/jobs/internal/CongestionControl.h
+++ b/src/jobs/internal/CongestionControl.h
@@ -17,8 +17,10 @@
   void recordStart(std::size_t StartsInFlight);
   //! A task was not started because the limit was reached.
   void recordWithheld() { LimitReached_ = true; }
-  //! Reply to a start that was sent at SentAt and took Time.
-  void recordStartReply(base::TimePoint SentAt, base::Duration Time);
+  //! Reply to a start that was sent at SentAt and took Time, of which it spent
+  //! QueueingDelay waiting on the path or in this process.
+  void recordStartReply(base::TimePoint SentAt, base::Duration Time,
+                        base::Duration QueueingDelay);
   //! A start that was sent at SentAt got no reply.
   void recordStartLoss(base::TimePoint SentAt);
   //! Reply to a poll that took Time, not counting the time for which the worker
@@ -39,6 +41,10 @@
   //! A reply that takes longer is slow. Well above the round trip between
   //! regions and below the time after which a request is given up.
   static constexpr base::Duration SlowReply = std::chrono::milliseconds(300);
+  //! So is a reply to a start that waited for longer. Tasks that wait in the
+  //! queue keep their order; those that wait in flight delay urgent ones.
+  static constexpr base::Duration MaxQueueingDelay =
+      std::chrono::milliseconds(80);
   static constexpr std::size_t InitialStartsInFlight = 256;
   static constexpr std::size_t LeastStartsInFlight = 8;
   static constexpr std::size_t MostStartsInFlight = 4096;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -161,14 +161,16 @@
   if (Reply.Status_ == RequestStatus::Unknown ||
       Reply.Status_ == RequestStatus::NotSent)
     Congestion_.recordStartLoss(SentAt);
-  else
-    Congestion_.recordStartReply(SentAt, now() - SentAt);
   RunEntry *Run = findRun(Serial);
   if (Run == nullptr || Superseded_)
     return;
   WorkerEntry &Worker = *Run->Worker_;
-  if (Reply.ClockMs_)
+  if (Reply.ClockMs_) {
     recordClock(Worker, *Reply.ClockMs_);
+    base::Duration Time = now() - SentAt;
+    Worker.ShortestReply_ = std::min(Worker.ShortestReply_, Time);
+    Congestion_.recordStartReply(SentAt, Time, Time - Worker.ShortestReply_);
+  }
   if (Reply.Status_ == RequestStatus::Accepted) {
     if (Run->Phase_ == RunPhase::StartSent ||
         Run->Phase_ == RunPhase::StartUnconfirmed) {
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -204,6 +204,9 @@
   //! The record of used workers that says so is durable.
   bool RecordDurable_ = false;
   std::optional<ClockSample> Clock_;
+  //! Least time that the reply to a start has taken: what the path takes when
+  //! nothing waits on it.
+  base::Duration ShortestReply_ = base::Duration::max();
   //! Latest time at which any lease of this incarnation can expire.
   base::TimePoint LatestLeaseEnd_;
   //! Until then it may hold a lease that a poll to an earlier incarnation
--- a/tests/jobs/CongestionControl.tests.cpp
+++ b/tests/jobs/CongestionControl.tests.cpp
@@ -22,7 +22,7 @@
         if (I < Slow)
           Control_.recordStartLoss(Now_);
         else
-          Control_.recordStartReply(Now_, FastReply);
+          Control_.recordStartReply(Now_, FastReply, {});
       endRound();
     }
   }
@@ -74,7 +74,7 @@
                                    "congestion") {
   Control_.recordStart(100);
   for (int I = 0; I < 100; ++I)
-    Control_.recordStartReply(Now_, LateReply);
+    Control_.recordStartReply(Now_, LateReply, {});
   endRound();
   CHECK(Control_.maxStartsInFlight() <
         CongestionControl::InitialStartsInFlight);
@@ -99,7 +99,7 @@
   Control_.recordStart(CongestionControl::InitialStartsInFlight);
   for (int Round = 0; Round < 5; ++Round) {
     for (int I = 0; I < 50; ++I)
-      Control_.recordStartReply(Sent, LateReply);
+      Control_.recordStartReply(Sent, LateReply, {});
     endRound();
   }
   CHECK(Control_.maxStartsInFlight() ==
@@ -109,10 +109,29 @@
 TEST_CASE_FIXTURE(BusyCoordinator,
                   "A limit that holds nothing back does not grow") {
   for (int I = 0; I < 100; ++I)
-    Control_.recordStartReply(Now_, FastReply);
+    Control_.recordStartReply(Now_, FastReply, {});
   endRound();
   CHECK(Control_.maxStartsInFlight() ==
         CongestionControl::InitialStartsInFlight);
 }
 
+// Guards against urgent tasks that wait behind others that are in flight.
+TEST_CASE_FIXTURE(BusyCoordinator,
+                  "Starts that queue in flight reduce the limit, those with a "
+                  "long way do not") {
+  auto PlayRound = [this](base::Duration QueueingDelay) {
+    Control_.recordStart(Control_.maxStartsInFlight());
+    for (int I = 0; I < 100; ++I)
+      Control_.recordStartReply(Now_, milliseconds(200), QueueingDelay);
+    endRound();
+  };
+  PlayRound(milliseconds(10));
+  CHECK(Control_.maxStartsInFlight() ==
+        CongestionControl::InitialStartsInFlight);
+  PlayRound(CongestionControl::MaxQueueingDelay + milliseconds(1));
+  CHECK(Control_.maxStartsInFlight() <
+        CongestionControl::InitialStartsInFlight);
+  CHECK_FALSE(Control_.congested());
+}
+
 } // namespace crocuslead::jobs::internal::test
