--- a/src/jobs/internal/CongestionControl.cpp
+++ b/src/jobs/internal/CongestionControl.cpp
@@ -12,7 +12,11 @@
 // single workers; below the lower one the path has room.
 constexpr double CongestedShare = 0.25;
 constexpr double ClearShare = 0.05;
-constexpr double DecreaseFactor = 0.5;
+constexpr double LossDecreaseFactor = 0.5;
+// Queueing alone loses nothing, so it is corrected in smaller steps.
+constexpr double QueueingDecreaseFactor = 0.8;
+// Fewer starts are not what other requests queue behind.
+constexpr std::size_t LeastQueueingLimit = 32;
 // The limit grows by this part of it in a round, and in a round without any
 // slow reply. A path that is exactly full takes one and a half times as long
 // after such a step, which is still below the time after which a request is
@@ -29,21 +33,23 @@
 }
 
 // What was sent before the limit was reduced says nothing about the new limit.
-void CongestionControl::addStart(base::TimePoint SentAt, bool Slow) {
-  if (SentAt >= LimitReducedAt_)
-    Starts_.add(Slow);
+void CongestionControl::addStart(base::TimePoint SentAt, bool Slow,
+                                 bool Queued) {
+  All_.add(Slow);
+  if (SentAt < LimitReducedAt_)
+    return;
+  Starts_.add(Slow);
+  QueuedStarts_.add(Slow || Queued);
 }
 
 void CongestionControl::recordStartReply(base::TimePoint SentAt,
                                          base::Duration Time,
                                          base::Duration QueueingDelay) {
-  All_.add(Time > SlowReply);
-  addStart(SentAt, Time > SlowReply || QueueingDelay > MaxQueueingDelay);
+  addStart(SentAt, Time > SlowReply, QueueingDelay > MaxQueueingDelay);
 }
 
 void CongestionControl::recordStartLoss(base::TimePoint SentAt) {
-  All_.add(true);
-  addStart(SentAt, true);
+  addStart(SentAt, true, true);
 }
 
 void CongestionControl::recordPollReply(base::Duration Time) {
@@ -58,7 +64,7 @@
   RoundEnd_ = Now + RoundTime;
   if (Starts_.Count_ >= MinReplies) {
     adaptLimit(Now);
-    Starts_ = {};
+    Starts_ = QueuedStarts_ = {};
     MostInFlight_ = 0;
     LimitReached_ = false;
   }
@@ -69,23 +75,30 @@
 }
 
 void CongestionControl::adaptLimit(base::TimePoint Now) {
-  double SlowShare = Starts_.slowShare();
-  if (SlowShare > CongestedShare) {
-    std::size_t Used = std::min(
-        MaxStartsInFlight_, std::max(MostInFlight_, LeastStartsInFlight * 2));
-    MaxStartsInFlight_ = std::max(
-        LeastStartsInFlight,
-        static_cast<std::size_t>(static_cast<double>(Used) * DecreaseFactor));
-    LimitReducedAt_ = Now;
-  } else if (SlowShare < ClearShare && LimitReached_) {
+  double QueuedShare = QueuedStarts_.slowShare();
+  if (Starts_.slowShare() > CongestedShare) {
+    reduceLimit(Now, LossDecreaseFactor, LeastStartsInFlight);
+  } else if (QueuedShare > CongestedShare) {
+    if (MaxStartsInFlight_ > LeastQueueingLimit)
+      reduceLimit(Now, QueueingDecreaseFactor, LeastQueueingLimit);
+  } else if (QueuedShare < ClearShare && LimitReached_) {
     std::size_t Divisor =
-        Starts_.Slow_ == 0 ? ClearGrowthDivisor : GrowthDivisor;
+        QueuedStarts_.Slow_ == 0 ? ClearGrowthDivisor : GrowthDivisor;
     MaxStartsInFlight_ =
         std::min(MostStartsInFlight,
                  MaxStartsInFlight_ + 1 + MaxStartsInFlight_ / Divisor);
   }
 }
 
+void CongestionControl::reduceLimit(base::TimePoint Now, double Factor,
+                                    std::size_t Least) {
+  std::size_t Used = std::min(MaxStartsInFlight_,
+                              std::max(MostInFlight_, LeastStartsInFlight * 2));
+  MaxStartsInFlight_ = std::max(
+      Least, static_cast<std::size_t>(static_cast<double>(Used) * Factor));
+  LimitReducedAt_ = Now;
+}
+
 void CongestionControl::adaptPolls() {
   double SlowShare = All_.slowShare();
   if (SlowShare > CongestedShare) {
--- a/src/jobs/internal/CongestionControl.h
+++ b/src/jobs/internal/CongestionControl.h
@@ -65,11 +65,16 @@
     }
   };
 
-  void addStart(base::TimePoint SentAt, bool Slow);
+  void addStart(base::TimePoint SentAt, bool Slow, bool Queued);
   void adaptLimit(base::TimePoint Now);
+  //! Reduces the limit to Factor of the starts that were in flight, but not
+  //! below Least.
+  void reduceLimit(base::TimePoint Now, double Factor, std::size_t Least);
   void adaptPolls();
 
   Replies Starts_;
+  //! The same replies; those that queued for too long count as slow as well.
+  Replies QueuedStarts_;
   Replies All_;
   std::size_t MostInFlight_ = 0;
   bool LimitReached_ = false;
--- a/tests/jobs/CongestionControl.tests.cpp
+++ b/tests/jobs/CongestionControl.tests.cpp
@@ -132,6 +132,9 @@
   CHECK(Control_.maxStartsInFlight() <
         CongestionControl::InitialStartsInFlight);
   CHECK_FALSE(Control_.congested());
+  for (int Round = 0; Round < 40; ++Round)
+    PlayRound(CongestionControl::MaxQueueingDelay + milliseconds(1));
+  CHECK(Control_.maxStartsInFlight() > CongestionControl::LeastStartsInFlight);
 }
 
 } // namespace crocuslead::jobs::internal::test
