Tell how long a coordinator decides

Cause: coordinator-load told that the loop is late, not what it does. Change: time in placement, reports and checks per second.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -33,19 +33,21 @@
     adaptToCongestion();
     if (now() >= NextRunCheckAt_) {
       NextRunCheckAt_ = now() + RunCheckInterval;
-      checkRuns();
-      startSpeculativeCopies();
-      moveThrottledRuns();
-      logLongWaits();
-      Stability_.prune(now());
-      forgetOldIncarnations();
+      timed(CheckTime_, [this] {
+        checkRuns();
+        startSpeculativeCopies();
+        moveThrottledRuns();
+        logLongWaits();
+        Stability_.prune(now());
+        forgetOldIncarnations();
+      });
     }
     for (JobEntry *Job : RecurringJobs_)
       createDueOccurrences(*Job);
     PlacementRequested_ = PlacementRequested_ || !ReadySteps_.empty();
   }
   if (PlacementRequested_ && now() >= NextPlacementAt_) {
-    placeReadySteps();
+    timed(PlacementTime_, [this] { placeReadySteps(); });
     // With a backlog, a placement pass visits many workers for each step, so
     // passes are spaced out.
     if (!ReadySteps_.empty())
@@ -74,6 +76,9 @@
   Out.Starts_ = Starts_;
   Out.RunsEnded_ = RunsEnded_;
   Out.WithheldPasses_ = WithheldPasses_;
+  Out.PlacementTime_ = PlacementTime_;
+  Out.ReportTime_ = ReportTime_;
+  Out.CheckTime_ = CheckTime_;
   if (Recovering_)
     Out.RecoveryWaitsFor_ = static_cast<std::size_t>(std::count_if(
         WorkerOrder_.begin(), WorkerOrder_.end(),
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -104,6 +104,10 @@
   uint64_t RunsEnded_ = 0;
   //! Placement passes that ended early because MaxStartsInFlight_ was reached.
   uint64_t WithheldPasses_ = 0;
+  //! Time spent on decisions in this term.
+  base::Duration PlacementTime_{};
+  base::Duration ReportTime_{};
+  base::Duration CheckTime_{};
   //! Workers whose answer or end of lease a recovery waits for.
   std::size_t RecoveryWaitsFor_ = 0;
   //! Workers whose results must not be acknowledged.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -58,6 +58,14 @@
   base::TimePoint now() const { return Clock_.now(); }
   const QueueConfig *queueConfig(const JobEntry &Job) const;
 
+  //! Runs Function and adds its duration to Total.
+  template <typename Action>
+  void timed(base::Duration &Total, Action Function) {
+    base::TimePoint Start = now();
+    Function();
+    Total += now() - Start;
+  }
+
   // Jobs.cpp: acceptance, progress and completion of jobs.
   void createDueOccurrences(JobEntry &Job);
   void createOccurrence(JobEntry &Job, uint32_t Number);
@@ -299,6 +307,9 @@
   uint64_t Starts_ = 0;
   uint64_t RunsEnded_ = 0;
   uint64_t WithheldPasses_ = 0;
+  base::Duration PlacementTime_{};
+  base::Duration ReportTime_{};
+  base::Duration CheckTime_{};
 
   bool Recovering_ = false;
   //! All workers that may hold a lease of an earlier term are known.
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -97,7 +97,8 @@
     return;
   }
   Congestion_.recordPollReply(now() - Worker.PollSentAt_ - Worker.PollWait_);
-  applyReport(Worker, Reply.Report_, Worker.PollSentAt_);
+  timed(ReportTime_,
+        [&] { applyReport(Worker, Reply.Report_, Worker.PollSentAt_); });
 }
 
 void Coordinator::Impl::onPollFailure(WorkerEntry &Worker,
