Do not poll an id again at once whose address another worker has

Cause: the entry for the next incarnation of the id was polled at once, got the refusal of the other worker, and was replaced again.

Change: it is polled after 1 s, or at once when the registry has a new entry.

--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -16,6 +16,9 @@
 // was superseded.
 constexpr auto PredecessorLeaseGrace = std::chrono::milliseconds(1500);
 
+// Pause before an id is polled again whose worker is gone; a new entry in the
+// registry ends it.
+constexpr auto NextIncarnationPollDelay = std::chrono::milliseconds(1000);
 // A recovery that goes on is logged at this interval.
 constexpr auto RecoveryLogInterval = std::chrono::seconds(1);
 
@@ -86,6 +89,8 @@
     WorkerEntry &Worker = *It->second;
     Worker.InfoConfirmed_ = true;
     bool StartsDraining = Info.Draining_ && !Worker.Info_.Draining_;
+    if (Info.StartTimeMs_ != Worker.Info_.StartTimeMs_)
+      Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
     if (Info.Address_ != Worker.Info_.Address_)
       markUsedWorkersDirty();
     Worker.Info_ = Info;
@@ -306,10 +311,11 @@
   markUsedWorkersDirty();
   PlacementRequested_ = true;
   // The registry has an entry for the next incarnation under this id, or soon
-  // will; its start time is not known yet.
+  // will; its start time is not known yet. The address may also have gone to a
+  // worker with another id, which answers each poll by a refusal.
   if (Registered) {
     Info.StartTimeMs_ = 0;
-    addWorker(Info);
+    addWorker(Info).NextPollAt_ = now() + NextIncarnationPollDelay;
   }
 }
 
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -47,6 +47,9 @@
   bool DropsRequests_ = false;
   //! Replies of the worker are lost.
   bool DropsReplies_ = false;
+  //! A worker with another id answers at its address.
+  bool AddressTaken_ = false;
+  int Polls_ = 0;
   bool FailsAllRuns_ = false;
   bool StallsRuns_ = false;
   //! Polls that wait for a run to end, with the time at which each is answered
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -314,6 +314,9 @@
 RequestStatus JobWorld::executePoll(FakeWorker &Worker,
                                     const PollRequest &Request,
                                     WorkerReport &Report) {
+  ++Worker.Polls_;
+  if (Worker.AddressTaken_)
+    return RequestStatus::WrongIncarnation;
   if (Request.FencingToken_ < Worker.FencingToken_)
     return RequestStatus::Fenced;
   Worker.FencingToken_ = Request.FencingToken_;
