--- a/tests/jobs/Placement.tests.cpp
+++ b/tests/jobs/Placement.tests.cpp
@@ -83,4 +83,25 @@
     CHECK(World_.startsOf("a.0.0." + std::to_string(I)) == 1);
 }
 
+TEST_CASE("A worker whose capacity has shrunk gets no start beyond it") {
+  JobWorld World;
+  World.addWorker("w0");
+  World.startSuccessor();
+  World.RunDuration_ = seconds(2);
+  for (int I = 0; I < 30; ++I)
+    World.submit("a" + std::to_string(I), chainJob(1, 1, 4'000));
+  World.run(seconds(1));
+  REQUIRE(World.worker("w0").Runs_.size() == 4);
+  World.worker("w0").Info_.Capacity_.MilliCpu_ = 8'000;
+  World.publishWorkers();
+  World.run(seconds(9));
+  CHECK(World.worker("w0").Runs_.size() == 2);
+  World.worker("w0").Info_.Capacity_.MilliCpu_ = 16'000;
+  World.publishWorkers();
+  World.run(seconds(1));
+  CHECK(World.worker("w0").Runs_.size() == 4);
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
 } // namespace crocuslead::jobs::test
