Compare the mean lag in microseconds in its test

Change: the expected value is computed in the type of the result, the check is as strict. Result: tests_base passes.

--- a/tests/base/LoopMonitor.tests.cpp
+++ b/tests/base/LoopMonitor.tests.cpp
@@ -19,7 +19,7 @@
   REQUIRE(Load);
   CHECK(Load->Period_ == milliseconds(1000));
   CHECK(Load->MaxLag_ == milliseconds(980));
-  CHECK(Load->MeanLag_ == milliseconds(980) / 3);
+  CHECK(Load->MeanLag_ == Duration(milliseconds(980)) / 3);
   CHECK(Load->CpuShare_ == doctest::Approx(0.25));
 }
 
