Let other tasks start while a suspected one waits

Cause: a task that waits for its record, or for a worker of its own, stayed pending in its step, and a pending step counts as one that found no worker: all steps of the same or a larger size were passed over in that pass, and the step's own later tasks as well.

Change: only tasks that could start and found no worker count.

--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -231,6 +231,9 @@
     if (!Ranked)
       Ranked = rankWorkers(Step, Rack);
     Candidate *Chosen = bestCandidate(*Ranked, Task);
+    // An isolated task may lack a worker where others don't.
+    if (Chosen == nullptr && mustIsolate(Task))
+      continue;
     if (Chosen == nullptr)
       break;
     WorkerEntry &Worker = *Chosen->Worker_;
@@ -358,7 +361,11 @@
         Step.Tasks_.begin(), Step.Tasks_.end(), [](const TaskEntry &Task) {
           return !Task.Done_ && Task.Runs_.empty();
         });
-    if (HasPendingTasks && !(Recovering_ && Step.Job_->Restored_)) {
+    bool LacksWorker = std::any_of(
+        Step.Tasks_.begin(), Step.Tasks_.end(), [&](const TaskEntry &Task) {
+          return isStartable(Step, Task) && !mustIsolate(Task);
+        });
+    if (LacksWorker) {
       Unplaceable.add(Step);
       if (ReservingStep_ == nullptr && isStarving(Step))
         reserveWorkers(Step);
