Let only losses in isolation speak against a task

Change: only an isolated run counts as sole suspect, so a task is given up after three suspected crashes with one in isolation. While more than a tenth of the workers were lost in 10 s without any suspect, or without a confirmed start, two in isolation are needed.

--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -31,18 +31,19 @@
   //! Stands for the next run, which has not been lost. Stored before that run
   //! starts, so that a takeover does not hide its crash.
   Announced,
-  //! Other runs on the worker are suspected as well, or the worker may have
-  //! been lost before the start arrived.
+  //! Other causes are as likely: the run was not isolated.
   Shared,
-  //! It is the only suspect, but the worker did not confirm its start.
-  SoleUnconfirmed,
+  //! It was isolated, but the worker did not confirm its start, or other
+  //! workers were lost without a suspect.
+  SoleUncertain,
+  //! It was isolated, and the worker had confirmed its start.
   Sole,
 };
 
 constexpr auto CrashEvidenceNames = base::makeNameTable<CrashEvidence>(
     {{CrashEvidence::Announced, "announced"},
      {CrashEvidence::Shared, "shared"},
-     {CrashEvidence::SoleUnconfirmed, "sole-unconfirmed"},
+     {CrashEvidence::SoleUncertain, "sole-uncertain"},
      {CrashEvidence::Sole, "sole"}});
 
 //! A run whose worker was lost before the run was known to have outlived its
--- a/src/jobs/internal/Crashes.cpp
+++ b/src/jobs/internal/Crashes.cpp
@@ -24,9 +24,14 @@
 constexpr int MinCrashes = 3;
 constexpr int MinWeight = 2;
 
+// Losses without a suspect are remembered for this long; more than this part of
+// the workers, and the fleet is losing workers for other reasons.
+constexpr auto LossMemory = std::chrono::seconds(10);
+constexpr std::size_t LossyFleetDivisor = 10;
+
 int weightOf(CrashEvidence Evidence) {
   switch (Evidence) {
-  case CrashEvidence::SoleUnconfirmed:
+  case CrashEvidence::SoleUncertain:
     return 1;
   case CrashEvidence::Sole:
     return 2;
@@ -88,8 +93,13 @@
 
 // A worker that drains leaves as planned.
 void Coordinator::Impl::recordWorkerLoss(const WorkerEntry &Worker) {
-  if (Worker.UnprovenRuns_ == 0 || Worker.Info_.Draining_)
+  if (Worker.Info_.Draining_)
+    return;
+  if (Worker.UnprovenRuns_ == 0) {
+    if (Worker.Polled_)
+      UnsuspectedLosses_.push_back(now());
     return;
+  }
   bool Alone = Worker.UnprovenRuns_ == 1;
   std::vector<uint64_t> Suspects;
   for (const RunEntry *Run : Worker.Runs_)
@@ -100,13 +110,22 @@
       recordCrash(*Run, evidenceOf(*Run, Alone));
 }
 
-// A worker that did not confirm the start may have been lost before it arrived.
+// While workers are lost without any suspect, a suspect proves less.
+bool Coordinator::Impl::isLosingWorkers() {
+  while (!UnsuspectedLosses_.empty() &&
+         now() - UnsuspectedLosses_.front() > LossMemory)
+    UnsuspectedLosses_.pop_front();
+  return UnsuspectedLosses_.size() * LossyFleetDivisor > WorkerOrder_.size();
+}
+
+// Only in isolation does a loss speak against one task. A worker that did not
+// confirm the start may have been lost before it arrived.
 CrashEvidence Coordinator::Impl::evidenceOf(const RunEntry &Run, bool Alone) {
-  if (!Alone)
+  if (!Alone || !Run.Isolated_)
     return CrashEvidence::Shared;
-  if (Run.ExistsSinceMs_)
-    return CrashEvidence::Sole;
-  return Run.Isolated_ ? CrashEvidence::SoleUnconfirmed : CrashEvidence::Shared;
+  return Run.ExistsSinceMs_ && !isLosingWorkers()
+             ? CrashEvidence::Sole
+             : CrashEvidence::SoleUncertain;
 }
 
 void Coordinator::Impl::recordCrash(RunEntry &Run, CrashEvidence Evidence) {
@@ -152,10 +171,13 @@
     const std::vector<SuspectedCrash> &Crashes) {
   if (Crashes.empty())
     return;
-  Task.Crashes_ = Crashes;
-  for (SuspectedCrash &Each : Task.Crashes_)
-    if (Each.Evidence_ == CrashEvidence::Announced)
-      Each.Evidence_ = CrashEvidence::SoleUnconfirmed;
+  for (const SuspectedCrash &Each : Crashes) {
+    CrashEvidence Evidence = Each.Evidence_;
+    if (Evidence == CrashEvidence::Announced)
+      Evidence = mustIsolate(Task) ? CrashEvidence::SoleUncertain
+                                   : CrashEvidence::Shared;
+    Task.Crashes_.push_back({Each.Run_, Evidence});
+  }
   announceNextRun(Job, Task);
 }
 
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -181,7 +181,8 @@
   void noteExists(RunEntry &Run, int64_t WorkerMs);
   void proveRun(RunEntry &Run);
   void recordWorkerLoss(const WorkerEntry &Worker);
-  static CrashEvidence evidenceOf(const RunEntry &Run, bool Alone);
+  CrashEvidence evidenceOf(const RunEntry &Run, bool Alone);
+  bool isLosingWorkers();
   void recordCrash(RunEntry &Run, CrashEvidence Evidence);
   void announceNextRun(JobEntry &Job, TaskEntry &Task);
   void restoreCrashes(JobEntry &Job, TaskEntry &Task,
@@ -314,6 +315,9 @@
   uint64_t NextRunSerial_ = 1;
   uint64_t NextSequence_ = 1;
 
+  //! Losses of workers on which no run was suspected.
+  std::deque<base::TimePoint> UnsuspectedLosses_;
+
   internal::PressureModel Pressure_;
   internal::WorkerStability Stability_;
   internal::CongestionControl Congestion_;
--- a/tests/jobs/Crashes.tests.cpp
+++ b/tests/jobs/Crashes.tests.cpp
@@ -130,6 +130,19 @@
   CHECK(Fleet.World_.state("sound") == JobState::Completed);
 }
 
+TEST_CASE("Tasks of the same size start while a suspected one waits for its "
+          "record") {
+  CrashingFleet Fleet(2);
+  Fleet.submitCrashing("a", chainJob(1, 1, 2'000));
+  Fleet.World_.run(milliseconds(300));
+  Fleet.World_.StoreDown_ = true;
+  Fleet.World_.run(seconds(5));
+  Fleet.World_.submit("sound", chainJob(1, 3, 2'000));
+  Fleet.World_.run(seconds(1));
+  CHECK(Fleet.World_.startsOf("a.0.0.0") == 1);
+  CHECK(Fleet.World_.startsOf("sound.0.0.2") == 1);
+}
+
 // The start after two crashes waits until they are recorded.
 TEST_CASE_FIXTURE(CrashingFleet, "While the store is down a takeover does not "
                                  "lose a task's crashes") {
