Do not take workers out of reach for crashed ones

Seen: 54 of 100,000 random histories gave up a sound job. In the three that were traced its starts had not been confirmed by workers that were cut off, and the leases of these ended; one of the workers later reported the run itself.

Cause: the end of a lease out of reach counted like the end of the worker, and a successor counted an announced start of an isolated task as evidence.

Change: a worker that does not answer while the registry lists it is not counted: it lives. One that is unlisted as well is uncertain evidence; only another incarnation or worker in its place is certain. An announced start is shared evidence in the next term.

--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -43,7 +43,8 @@
     return;
   noteLeaseEnd(Worker);
   if (!Worker.Registered_)
-    endIncarnation(Worker, "unlisted-and-lease-expired");
+    endIncarnation(Worker, WorkerLoss::OutOfReach,
+                   "unlisted-and-lease-expired");
 }
 
 // A later coordinator need not wait for a lease that is known to have ended. A
@@ -72,7 +73,7 @@
   markAbandoned(Worker);
   if (!Worker.AbandonmentDurable_)
     return false;
-  recordWorkerLoss(Worker);
+  recordWorkerLoss(Worker, WorkerLoss::OutOfReach);
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_))
     concludeUnreportedRun(*Run, Reason);
   return true;
--- a/src/jobs/internal/Crashes.cpp
+++ b/src/jobs/internal/Crashes.cpp
@@ -91,9 +91,12 @@
   markDirty(*Run.Job_);
 }
 
-// A worker that drains leaves as planned.
-void Coordinator::Impl::recordWorkerLoss(const WorkerEntry &Worker) {
-  if (Worker.Info_.Draining_)
+// A worker that drains leaves as planned. One that is out of reach while the
+// registry lists it lives.
+void Coordinator::Impl::recordWorkerLoss(const WorkerEntry &Worker,
+                                         WorkerLoss Loss) {
+  if (Worker.Info_.Draining_ ||
+      (Loss == WorkerLoss::OutOfReach && Worker.Registered_))
     return;
   if (Worker.UnprovenRuns_ == 0) {
     if (Worker.Polled_)
@@ -107,7 +110,7 @@
       Suspects.push_back(Run->Serial_);
   for (uint64_t Serial : Suspects)
     if (RunEntry *Run = findRun(Serial))
-      recordCrash(*Run, evidenceOf(*Run, Alone));
+      recordCrash(*Run, Alone ? evidenceOf(*Run, Loss) : CrashEvidence::Shared);
 }
 
 // While workers are lost without any suspect, a suspect proves less.
@@ -119,13 +122,15 @@
 }
 
 // Only in isolation does a loss speak against one task. A worker that did not
-// confirm the start may have been lost before it arrived.
-CrashEvidence Coordinator::Impl::evidenceOf(const RunEntry &Run, bool Alone) {
-  if (!Alone || !Run.Isolated_)
+// confirm the start may have been lost before it arrived, and one that is
+// unlisted may be cut off from the store as well.
+CrashEvidence Coordinator::Impl::evidenceOf(const RunEntry &Run,
+                                            WorkerLoss Loss) {
+  if (!Run.Isolated_)
     return CrashEvidence::Shared;
-  return Run.ExistsSinceMs_ && !isLosingWorkers()
-             ? CrashEvidence::Sole
-             : CrashEvidence::SoleUncertain;
+  bool Certain = Loss == WorkerLoss::IncarnationEnded && Run.ExistsSinceMs_ &&
+                 !isLosingWorkers();
+  return Certain ? CrashEvidence::Sole : CrashEvidence::SoleUncertain;
 }
 
 void Coordinator::Impl::recordCrash(RunEntry &Run, CrashEvidence Evidence) {
@@ -171,13 +176,10 @@
     const std::vector<SuspectedCrash> &Crashes) {
   if (Crashes.empty())
     return;
-  for (const SuspectedCrash &Each : Crashes) {
-    CrashEvidence Evidence = Each.Evidence_;
-    if (Evidence == CrashEvidence::Announced)
-      Evidence = mustIsolate(Task) ? CrashEvidence::SoleUncertain
-                                   : CrashEvidence::Shared;
-    Task.Crashes_.push_back({Each.Run_, Evidence});
-  }
+  Task.Crashes_ = Crashes;
+  for (SuspectedCrash &Each : Task.Crashes_)
+    if (Each.Evidence_ == CrashEvidence::Announced)
+      Each.Evidence_ = CrashEvidence::Shared;
   announceNextRun(Job, Task);
 }
 
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -22,6 +22,14 @@
   using TaskEntry = internal::TaskEntry;
   using WorkerEntry = internal::WorkerEntry;
 
+  //! How a worker was lost.
+  enum class WorkerLoss : uint8_t {
+    //! Another incarnation or worker answers in its place.
+    IncarnationEnded,
+    //! Its lease has ended without an answer.
+    OutOfReach,
+  };
+
   Impl(const CoordinatorSettings &Settings, WorkerPort &Port,
        const base::Clock &Clock, base::MetricsRegistry &Metrics,
        CommitFunction OnCommit);
@@ -140,7 +148,7 @@
                      base::TimePoint SentAt);
   void adoptRun(WorkerEntry &Worker, const RunStatus &Status);
   void onPollFailure(WorkerEntry &Worker, RequestStatus Status);
-  void endIncarnation(WorkerEntry &Worker, const char *Reason);
+  void endIncarnation(WorkerEntry &Worker, WorkerLoss Loss, const char *Reason);
   void replaceIncarnation(WorkerEntry &Worker, const WorkerInfo &NewInfo);
   int64_t grantLease(WorkerEntry &Worker);
   //! Longest time after a request was sent for which a worker can hold a lease
@@ -180,8 +188,8 @@
   void forgetUnproven(RunEntry &Run);
   void noteExists(RunEntry &Run, int64_t WorkerMs);
   void proveRun(RunEntry &Run);
-  void recordWorkerLoss(const WorkerEntry &Worker);
-  CrashEvidence evidenceOf(const RunEntry &Run, bool Alone);
+  void recordWorkerLoss(const WorkerEntry &Worker, WorkerLoss Loss);
+  CrashEvidence evidenceOf(const RunEntry &Run, WorkerLoss Loss);
   bool isLosingWorkers();
   void recordCrash(RunEntry &Run, CrashEvidence Evidence);
   void announceNextRun(JobEntry &Job, TaskEntry &Task);
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -85,7 +85,8 @@
     return;
   }
   if (Reply.Status_ == RequestStatus::WrongIncarnation) {
-    endIncarnation(Worker, "another-life-answered");
+    endIncarnation(Worker, WorkerLoss::IncarnationEnded,
+                   "another-life-answered");
     return;
   }
   if (Reply.Status_ != RequestStatus::Accepted) {
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -208,7 +208,8 @@
     }
     return;
   case RequestStatus::WrongIncarnation:
-    endIncarnation(Worker, "another-life-answered");
+    endIncarnation(Worker, WorkerLoss::IncarnationEnded,
+                   "another-life-answered");
     return;
   default:
     Worker.AvoidUntil_ = std::max(Worker.AvoidUntil_, now() + RefusalAvoidance);
@@ -261,7 +262,8 @@
   } else if (Reply.Status_ == RequestStatus::Fenced) {
     markSuperseded("stop", Worker);
   } else if (Reply.Status_ == RequestStatus::WrongIncarnation) {
-    endIncarnation(Worker, "another-life-answered");
+    endIncarnation(Worker, WorkerLoss::IncarnationEnded,
+                   "another-life-answered");
   } else {
     Run->NextStopSendAt_ = now() + StopResendInterval;
   }
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -287,7 +287,7 @@
       poll(*Worker);
 }
 
-void Coordinator::Impl::endIncarnation(WorkerEntry &Worker,
+void Coordinator::Impl::endIncarnation(WorkerEntry &Worker, WorkerLoss Loss,
                                        const char *Reason) {
   std::string Id = Worker.Info_.Id_;
   if (isReachable(Worker))
@@ -296,7 +296,7 @@
                  {{"worker", Id},
                   {"reason", Reason},
                   {"runs", static_cast<int64_t>(Worker.Runs_.size())}});
-  recordWorkerLoss(Worker);
+  recordWorkerLoss(Worker, Loss);
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_))
     concludeUnreportedRun(*Run, Reason);
   WorkerOrder_.erase(
@@ -330,7 +330,7 @@
     uint64_t Number_;
   };
   std::vector<UnconfirmedStart> Unconfirmed;
-  recordWorkerLoss(Worker);
+  recordWorkerLoss(Worker, WorkerLoss::IncarnationEnded);
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_)) {
     if (Run->SeenRunning_)
       continue;
@@ -340,7 +340,7 @@
   }
   bool Registered = Worker.Registered_;
   Worker.Registered_ = false;
-  endIncarnation(Worker, "reborn");
+  endIncarnation(Worker, WorkerLoss::IncarnationEnded, "reborn");
   WorkerEntry &NewWorker = addWorker(NewInfo);
   NewWorker.Registered_ = Registered;
   for (const UnconfirmedStart &Start : Unconfirmed) {
