--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -198,7 +198,7 @@
   static bool mustIsolate(const TaskEntry &Task);
   bool isIsolatingWorker(const WorkerEntry &Worker) const;
 
-  // Placement.cpp: choice of workers for ready steps, and speculative copies.
+  // Placement.cpp: choice of workers for ready steps.
   enum class Urgency : uint8_t { Serving, Useful, Overdue };
   void placeReadySteps();
   static Urgency urgencyOf(const StepEntry &Step, base::TimePoint Now);
@@ -228,6 +228,8 @@
   double placementScore(const StepEntry &Step, WorkerEntry &Worker,
                         const std::string &PreferredRack) const;
   double packingScore(const StepEntry &Step, const WorkerEntry &Worker) const;
+
+  // Speculation.cpp: copies of slow runs.
   void startSpeculativeCopies();
 
   // Reservations.cpp: reservation of workers for a starving step, with
