Tell what the exchanges with workers cost and why starts are limited

coordinator-load now tells exchanges, polls, connections, processor time of an exchange, queueing of replies, reductions of the limit by cause, commits with their time and backlog, and workers that isolate a run.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -70,6 +70,7 @@
       Sum.BytesSent_ += Part.BytesSent_;
       Sum.BytesReceived_ += Part.BytesReceived_;
       Sum.Exchanges_ += Part.Exchanges_;
+      Sum.Connections_ += Part.Connections_;
     }
     return Sum;
   }
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -65,6 +65,8 @@
   uint64_t BytesSent_ = 0;
   uint64_t BytesReceived_ = 0;
   uint64_t Exchanges_ = 0;
+  //! Connections that were opened.
+  uint64_t Connections_ = 0;
 };
 
 //! HTTP/1.1 client: libcurl's multi interface on the event loop, with
--- a/src/http/MultiCore.cpp
+++ b/src/http/MultiCore.cpp
@@ -118,6 +118,9 @@
 void MultiCore::remove(const std::shared_ptr<Transfer> &Target) {
   Total_.BytesSent_ += Target->bytesSent();
   Total_.BytesReceived_ += Target->bytesReceived();
+  long Opened = 0;
+  curl_easy_getinfo(Target->easy(), CURLINFO_NUM_CONNECTS, &Opened);
+  Total_.Connections_ += static_cast<uint64_t>(Opened);
   curl_multi_remove_handle(Multi_, Target->easy());
   Running_.erase(Target->easy());
   Deadlines_.erase(Target->easy());
--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -76,6 +76,17 @@
   Out.Starts_ = Starts_;
   Out.RunsEnded_ = RunsEnded_;
   Out.WithheldPasses_ = WithheldPasses_;
+  Out.Polls_ = Polls_;
+  Out.Commits_ = Commits_;
+  Out.CommitTime_ = CommitTime_;
+  Out.UncommittedJobs_ = DirtyJobs_.size();
+  Out.StartReplies_ = StartReplies_;
+  Out.StartQueueing_ = StartQueueing_;
+  Out.LossReductions_ = Congestion_.lossReductions();
+  Out.QueueingReductions_ = Congestion_.queueingReductions();
+  Out.IsolatingWorkers_ = static_cast<std::size_t>(std::count_if(
+      WorkerOrder_.begin(), WorkerOrder_.end(),
+      [](const WorkerEntry *Worker) { return Worker->IsolatedRuns_ > 0; }));
   Out.PlacementTime_ = PlacementTime_;
   Out.ReportTime_ = ReportTime_;
   Out.CheckTime_ = CheckTime_;
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -102,6 +102,22 @@
   //! In this term.
   uint64_t Starts_ = 0;
   uint64_t RunsEnded_ = 0;
+  uint64_t Polls_ = 0;
+  //! Replies to starts, and the time for which all of them waited on the path
+  //! or in this process.
+  uint64_t StartReplies_ = 0;
+  base::Duration StartQueueing_{};
+  //! How often MaxStartsInFlight_ was reduced because replies were lost or
+  //! slow, and because they had queued.
+  uint64_t LossReductions_ = 0;
+  uint64_t QueueingReductions_ = 0;
+  //! Workers that take no starts until an isolated run is proven.
+  std::size_t IsolatingWorkers_ = 0;
+  //! Confirmed commits, and the time that all of them took.
+  uint64_t Commits_ = 0;
+  base::Duration CommitTime_{};
+  //! Jobs with changes that no commit contains yet.
+  std::size_t UncommittedJobs_ = 0;
   //! Placement passes that ended early because MaxStartsInFlight_ was reached.
   uint64_t WithheldPasses_ = 0;
   //! Time spent on decisions in this term.
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -93,6 +93,7 @@
   Batch.Number_ = NextCommitNumber_++;
   InFlightCommit_ = InFlightCommit();
   InFlightCommit_->Number_ = Batch.Number_;
+  InFlightCommit_->SentAt_ = now();
   if (UsedWorkersDirty_) {
     UsedWorkersDirty_ = false;
     InFlightCommit_->RecordsUsedWorkers_ = true;
@@ -145,6 +146,8 @@
       }
     return;
   }
+  ++Commits_;
+  CommitTime_ += now() - Finished.SentAt_;
   for (const std::string &Id : Finished.LeaseHolders_)
     if (auto It = Workers_.find(Id); It != Workers_.end()) {
       It->second->RecordDurable_ = true;
--- a/src/jobs/internal/CongestionControl.cpp
+++ b/src/jobs/internal/CongestionControl.cpp
@@ -77,10 +77,13 @@
 void CongestionControl::adaptLimit(base::TimePoint Now) {
   double QueuedShare = QueuedStarts_.slowShare();
   if (Starts_.slowShare() > CongestedShare) {
+    ++LossReductions_;
     reduceLimit(Now, LossDecreaseFactor, LeastStartsInFlight);
   } else if (QueuedShare > CongestedShare) {
-    if (MaxStartsInFlight_ > LeastQueueingLimit)
+    if (MaxStartsInFlight_ > LeastQueueingLimit) {
+      ++QueueingReductions_;
       reduceLimit(Now, QueueingDecreaseFactor, LeastQueueingLimit);
+    }
   } else if (QueuedShare < ClearShare && LimitReached_) {
     std::size_t Divisor =
         QueuedStarts_.Slow_ == 0 ? ClearGrowthDivisor : GrowthDivisor;
--- a/src/jobs/internal/CongestionControl.h
+++ b/src/jobs/internal/CongestionControl.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace crocuslead::jobs::internal {
 
@@ -34,6 +35,8 @@
   //! Replies were slow lately, so polls are spaced out.
   bool congested() const { return PollPause_.count() > 0; }
   std::size_t maxStartsInFlight() const { return MaxStartsInFlight_; }
+  uint64_t lossReductions() const { return LossReductions_; }
+  uint64_t queueingReductions() const { return QueueingReductions_; }
   //! Pause between the reply to a poll and the next poll of the same worker.
   base::Duration pollPause() const { return PollPause_; }
 
@@ -81,6 +84,8 @@
   base::TimePoint RoundEnd_;
   base::TimePoint LimitReducedAt_;
   std::size_t MaxStartsInFlight_ = InitialStartsInFlight;
+  uint64_t LossReductions_ = 0;
+  uint64_t QueueingReductions_ = 0;
   base::Duration PollPause_{};
 };
 
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -334,6 +334,11 @@
   std::size_t StartsInFlight_ = 0;
   uint64_t Starts_ = 0;
   uint64_t RunsEnded_ = 0;
+  uint64_t Polls_ = 0;
+  uint64_t StartReplies_ = 0;
+  base::Duration StartQueueing_{};
+  uint64_t Commits_ = 0;
+  base::Duration CommitTime_{};
   uint64_t WithheldPasses_ = 0;
   base::Duration PlacementTime_{};
   base::Duration ReportTime_{};
@@ -360,6 +365,7 @@
   base::TimePoint UsedWorkersDirtySince_;
   struct InFlightCommit {
     uint64_t Number_ = 0;
+    base::TimePoint SentAt_;
     std::vector<std::pair<std::string, uint64_t>> Versions_;
     bool RecordsUsedWorkers_ = false;
     //! Workers that are recorded as holding a lease.
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -62,6 +62,7 @@
   Worker.PollWait_ = Request.Wait_;
   Worker.SentAcknowledgedSequence_ = Worker.AcknowledgedSequence_;
   uint64_t Serial = ++Worker.PollSerial_;
+  ++Polls_;
   Port_.poll(addressOf(Worker), Request,
              [Weak = weak_from_this(), Id = Worker.Info_.Id_,
               StartTimeMs = Worker.Info_.StartTimeMs_,
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -172,7 +172,10 @@
     recordClock(Worker, *Reply.ClockMs_);
     base::Duration Time = now() - SentAt;
     Worker.ShortestReply_ = std::min(Worker.ShortestReply_, Time);
-    Congestion_.recordStartReply(SentAt, Time, Time - Worker.ShortestReply_);
+    base::Duration QueueingDelay = Time - Worker.ShortestReply_;
+    ++StartReplies_;
+    StartQueueing_ += QueueingDelay;
+    Congestion_.recordStartReply(SentAt, Time, QueueingDelay);
   }
   if (Reply.Status_ == RequestStatus::Accepted) {
     if (Run->Phase_ == RunPhase::StartSent ||
