--- a/bench/CoordinatorFigures.cpp
+++ b/bench/CoordinatorFigures.cpp
@@ -1,142 +1,14 @@
+#include "CoordinatorRig.h"
 #include "Figures.h"
-#include "PlatformWorkers.h"
-
-#include "base/Random.h"
-#include "jobs/Coordinator.h"
-#include "platform/WorkerCalls.h"
-
-#include <asio/post.hpp>
-#include <sys/resource.h>
 
 namespace crocuslead::bench {
 
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto Tick = milliseconds(10);
-constexpr auto CommitTime = milliseconds(6);
 constexpr auto WarmUp = seconds(3);
 constexpr auto Measured = seconds(8);
-constexpr auto RunLength = milliseconds(1500);
-// Of the grown deployments: jobs of 2 steps of 20 tasks, and long-running ones.
-constexpr uint32_t BatchWidth = 20;
-constexpr uint32_t ServingWidth = 14;
-constexpr double BatchJobsPerWorkerSecond = 0.045;
-constexpr int WorkersPerServingJob = 3;
-constexpr std::size_t ConnectionGroups = 16;
-
-double threadCpuSeconds() {
-  rusage Use{};
-  ::getrusage(RUSAGE_THREAD, &Use);
-  auto Seconds = [](const timeval &T) {
-    return static_cast<double>(T.tv_sec) + static_cast<double>(T.tv_usec) / 1e6;
-  };
-  return Seconds(Use.ru_utime) + Seconds(Use.ru_stime);
-}
-
-//! A coordinator at work for a fleet of stand-in workers over loopback.
-class CoordinatorRig {
-public:
-  explicit CoordinatorRig(int Workers)
-      : Fleet_(Workers, RunLength),
-        Client_(http::makeClient(Loop_, 0, ConnectionGroups)),
-        Port_(platform::makeWorkerCalls(*Client_)), Timer_(Loop_),
-        Coordinator_({}, *Port_, Clock_, Metrics_,
-                     [this](const jobs::CommitBatch &Batch) { commit(Batch); }),
-        JobsPerSecond_(BatchJobsPerWorkerSecond * Workers) {
-    jobs::FleetConfig Config;
-    jobs::QueueConfig Queue;
-    Queue.Name_ = "queue";
-    Queue.Service_ = "service";
-    Queue.MaxAttempts_ = 3;
-    Queue.TargetFactor_ = 2;
-    Queue.TargetOffset_ = seconds(1);
-    Config.Queues_["queue"] = Queue;
-    Coordinator_.setConfig(Config);
-    Coordinator_.setWorkers(Fleet_.entries());
-    Coordinator_.recover();
-    for (int I = 0; I < Workers / WorkersPerServingJob / 2; ++I)
-      submit(servingJob());
-    tick();
-  }
-
-  void run(base::Duration Time) {
-    Loop_.restart();
-    Loop_.run_for(Time);
-  }
-  uint64_t exchanges() const { return Client_->counters().Exchanges_; }
-
-private:
-  void tick() {
-    base::TimePoint Now = Clock_.now();
-    for (; NextJob_ <= Now;
-         NextJob_ += milliseconds(static_cast<int>(1000 / JobsPerSecond_)))
-      submit(batchJob());
-    Coordinator_.tick();
-    Timer_.expires_after(Tick);
-    Timer_.async_wait([this](const asio::error_code &Failure) {
-      if (!Failure)
-        tick();
-    });
-  }
-
-  void commit(const jobs::CommitBatch &Batch) {
-    auto After = std::make_shared<asio::steady_timer>(Loop_, CommitTime);
-    After->async_wait([this, After, Number = Batch.Number_](auto) {
-      Coordinator_.commitDone(Number, jobs::CommitResult::Durable);
-    });
-  }
-
-  void submit(jobs::JobSpec Spec) {
-    Coordinator_.addJob("job" + std::to_string(NextId_++),
-                        {"queue", std::move(Spec), Clock_.wallNow()});
-  }
-
-  jobs::JobSpec batchJob() {
-    jobs::JobSpec Out;
-    Out.Payload_ = std::string(300, 'x');
-    for (uint32_t S = 0; S < 2; ++S) {
-      jobs::StepSpec Step;
-      Step.Count_ = BatchWidth;
-      Step.Request_ = {1800, 3200, 0};
-      Step.EstimatedDuration_ = RunLength;
-      Step.BestEffort_ = true;
-      Step.Checkpoints_ = true;
-      Step.Image_ = "batch" + std::to_string(Random_.below(9));
-      if (S > 0)
-        Step.Dependencies_ = {0};
-      Out.Steps_.push_back(Step);
-    }
-    return Out;
-  }
-
-  jobs::JobSpec servingJob() {
-    jobs::JobSpec Out;
-    jobs::StepSpec Step;
-    Step.Count_ = ServingWidth;
-    Step.Request_ = {3200, 6400, 0};
-    Step.EstimatedDuration_ = RunLength;
-    Step.Image_ = "serving" + std::to_string(Random_.below(5));
-    Step.TailLatencyTarget_ = seconds(50);
-    Out.Steps_.push_back(Step);
-    return Out;
-  }
-
-  PlatformWorkers Fleet_;
-  asio::io_context Loop_;
-  base::SystemClock Clock_;
-  base::MetricsRegistry Metrics_;
-  base::Random Random_{Seed};
-  std::unique_ptr<http::Client> Client_;
-  std::unique_ptr<jobs::WorkerPort> Port_;
-  asio::steady_timer Timer_;
-  jobs::Coordinator Coordinator_;
-  double JobsPerSecond_;
-  base::TimePoint NextJob_ = Clock_.now() + seconds(1);
-  int NextId_ = 0;
-};
 
 } // namespace
 
@@ -144,16 +16,20 @@
   for (int Workers : {66, 245, 490, 890}) {
     CoordinatorRig Rig(Workers);
     Rig.run(WarmUp);
-    uint64_t Before = Rig.exchanges();
+    uint64_t CallsBefore = Rig.exchanges();
+    uint64_t StartsBefore = Rig.starts();
     double Cpu = threadCpuSeconds();
     Rig.run(Measured);
     double Used = threadCpuSeconds() - Cpu;
-    auto Calls = static_cast<double>(Rig.exchanges() - Before);
+    auto Calls = static_cast<double>(Rig.exchanges() - CallsBefore);
+    auto Starts = static_cast<double>(Rig.starts() - StartsBefore);
     std::string Name = "coordinator_" + std::to_string(Workers) + "_workers_";
     double Time = base::toSeconds(Measured);
     emit({Name + "cpu", 100 * Used / Time, "% of a core", {}, {}, {}, {}});
     emit({Name + "calls", Calls / Time, "calls/s", {}, {}, {}, {}});
     emit({Name + "cpu_per_call", 1e6 * Used / Calls, "us", {}, {}, {}, {}});
+    emit({Name + "starts", Starts / Time, "starts/s", {}, {}, {}, {}});
+    emit({Name + "cpu_per_start", 1e6 * Used / Starts, "us", {}, {}, {}, {}});
   }
 }
 
