review: judge cases 3 and 4 by the share of the service in use

Cause: on a slower machine case 3 could leave a few results fewer, so that a worker still got one task at a time; the check then saw a running task and did not apply the rule as written to the jobs that waited.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -256,6 +256,31 @@
                             f"on {end['worker']} at {end['at']:.3f}, which was taken note of later")
 
 
+class Usage:
+    """Jobs of one step that have nothing running although their service has room, as LOST counts them."""
+
+    IDLE_SECONDS = 3.0
+
+    def __init__(self, workers, jobs, tasks, cpu):
+        self.workers, self.jobs, self.tasks, self.cpu, self.since = workers, jobs, tasks, cpu, {}
+
+    def look(self, now, done):
+        """Gives (job, share of the service in use) of each that has waited for IDLE_SECONDS with room twice over."""
+        room = sum(w.cpu for w in self.workers)
+        used = sum(len(w.runs) for w in self.workers) * self.cpu
+        running = {task.split(".")[0] for w in self.workers for task in w.runs}
+        out = []
+        for job in self.jobs:
+            owed = any(f"{job}.0.0.{i}" not in done for i in range(self.tasks))
+            if owed and job not in running and 2 * used < room and room - used >= 2 * self.cpu:
+                since = self.since.setdefault(job, now)
+                if now - since >= self.IDLE_SECONDS:
+                    out.append((job, used / room))
+            else:
+                self.since.pop(job, None)
+        return out
+
+
 class Worker:
     """A worker that runs tasks under leases and fencing tokens."""
 
