Bound the leases of a coordinator by the last confirmation of its term

Cause: a coordinator that can't reach the store took a run for over when the lease that it had granted ended, although its successor had renewed it, and renewed the leases on its own side for as long as the cut lasted, while the successor waited for one lease and a guessed 1.5 s. Nothing but a refusal stopped it, and in a cut it meets none.

Change: each act has the proof that it needs. Leases end at most 6 s after the term was last confirmed, by a read or commit of the store or, while the store is silent, by polls that 3/4 of the recorded lease holders answered. A run whose worker does not answer is over only if the store confirmed the term after the end of the lease. A successor waits as long as that from the moment at which it has fenced more than 1/4 of the recorded holders: any two such sets meet. Runs live through outages of the store without a cut as before, now up to 15 minutes.

Why it works, and what was weighed: docs/decisions/term-confirmation.md.

--- a/bench/CoordinatorRig.cpp
+++ b/bench/CoordinatorRig.cpp
@@ -67,6 +67,7 @@
   for (; NextJob_ <= Now;
        NextJob_ += milliseconds(static_cast<int>(1000 / JobsPerSecond_)))
     submit(batchJob());
+  Coordinator_.confirmTerm(Now);
   Coordinator_.tick();
   Timer_.expires_after(Tick);
   Timer_.async_wait([this](const asio::error_code &Failure) {
--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -21,13 +21,16 @@
                         const base::Clock &Clock,
                         base::MetricsRegistry &Metrics, CommitFunction OnCommit)
     : Settings_(Settings), Port_(Port), Clock_(Clock), Metrics_(Metrics),
-      WorkMetrics_(Metrics), Commit_(std::move(OnCommit)) {}
+      WorkMetrics_(Metrics), Commit_(std::move(OnCommit)),
+      Confirmation_(leaseBounds(Settings.Times_)),
+      PredecessorLeases_(leaseBounds(Settings.Times_)) {}
 
 void Coordinator::Impl::tick() {
   if (Superseded_)
     return;
   if (now() >= NextCheckAt_) {
     NextCheckAt_ = now() + CheckInterval;
+    confirmTermByWorkers();
     expireUnreachableWorkers();
     updateRecovery();
     adaptToCongestion();
@@ -71,6 +74,9 @@
   Out.Runs_ = Runs_.size();
   Out.ReadySteps_ = ReadySteps_.size();
   Out.Recovering_ = Recovering_;
+  if (auto SentAt = Confirmation_.confirmedByStoreAt())
+    Out.StoreConfirmationAge_ = now() - *SentAt;
+  Out.LeaseTimeLeft_ = leaseTimeLeft();
   Out.MaxStartsInFlight_ = Congestion_.maxStartsInFlight();
   Out.StartsInFlight_ = StartsInFlight_;
   Out.Starts_ = Starts_;
@@ -91,11 +97,11 @@
   Out.ReportTime_ = ReportTime_;
   Out.CheckTime_ = CheckTime_;
   if (Recovering_)
-    Out.RecoveryWaitsFor_ = static_cast<std::size_t>(std::count_if(
-        WorkerOrder_.begin(), WorkerOrder_.end(),
-        [this](const WorkerEntry *Worker) {
-          return !Worker->Polled_ && now() < Worker->LatestLeaseEnd_;
-        }));
+    Out.RecoveryWaitsFor_ = static_cast<std::size_t>(
+        std::count_if(WorkerOrder_.begin(), WorkerOrder_.end(),
+                      [this](const WorkerEntry *Worker) {
+                        return !Worker->Polled_ && now() < leaseEnd(*Worker);
+                      }));
   Out.HeldBackWorkers_ = static_cast<std::size_t>(std::count_if(
       WorkerOrder_.begin(), WorkerOrder_.end(), [](const WorkerEntry *Worker) {
         return Worker->HeldBackSequence_ != 0;
@@ -148,6 +154,12 @@
   Impl_->commitDone(Number, Result);
 }
 
+void Coordinator::confirmTerm(base::TimePoint SentAt) {
+  Impl_->confirmTerm(SentAt);
+}
+
+void Coordinator::endTerm() { Impl_->endTerm("store"); }
+
 void Coordinator::tick() { Impl_->tick(); }
 
 void Coordinator::prepareHandover() { Impl_->prepareHandover(); }
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -25,6 +25,14 @@
   //! on a worker. Longer than a takeover takes, so that the runs are still
   //! alive when a successor polls the worker.
   base::Duration LeaseDuration_ = std::chrono::milliseconds(4500);
+  //! A lease that is granted this long after the term was last confirmed, or
+  //! later, is shorter than LeaseDuration_. A successor waits for as much
+  //! longer for leases that it can't see.
+  base::Duration ConfirmationSlack_ = std::chrono::milliseconds(1500);
+  //! For how long the term is confirmed by workers alone while the store does
+  //! not answer; runs end after that. A successor that reaches few workers
+  //! waits as long.
+  base::Duration MaxStoreSilence_ = std::chrono::minutes(15);
   //! Longest lease duration that a worker accepts.
   base::Duration MaxLeaseDuration_ = std::chrono::seconds(10);
   //! How long after it was sent a request may still arrive. Above the time
@@ -97,6 +105,11 @@
   std::size_t Runs_ = 0;
   std::size_t ReadySteps_ = 0;
   bool Recovering_ = false;
+  //! Time since the store last confirmed the term; unset before it has.
+  std::optional<base::Duration> StoreConfirmationAge_;
+  //! Time for which leases may still be granted; 0 or less if the term is not
+  //! confirmed.
+  base::Duration LeaseTimeLeft_{};
   std::size_t MaxStartsInFlight_ = 0;
   std::size_t StartsInFlight_ = 0;
   //! In this term.
@@ -167,6 +180,11 @@
   void cancelJob(const std::string &Id);
 
   void commitDone(uint64_t Number, CommitResult Result);
+  //! The store showed that no later term had begun when a request that was sent
+  //! at this time arrived there. Without it no lease is granted.
+  void confirmTerm(base::TimePoint SentAt);
+  //! The store showed that a later term has begun.
+  void endTerm();
   void tick();
   //! Extends the leases of all reachable workers that run tasks; no requests
   //! are sent after this.
--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -12,6 +12,8 @@
 
 constexpr auto ReadRetryDelay = std::chrono::milliseconds(100);
 constexpr auto CleanupInterval = std::chrono::seconds(5);
+// A commit confirms the term as well, so it is only read without commits.
+constexpr auto TermConfirmationInterval = std::chrono::milliseconds(500);
 // A store transaction takes 32 entries; removing an expired job takes three.
 constexpr std::size_t JobsPerCleanup = 10;
 
@@ -83,7 +85,7 @@
 
 void CoordinatorHost::startTerm(uint64_t Term) {
   endTerm();
-  TermStartedAt_ = Clock_.now();
+  TermStartedAt_ = NextConfirmation_ = Clock_.now();
   Alive_ = std::make_shared<int>(0);
   CoordinatorSettings Settings;
   Settings.Term_ = Term;
@@ -103,7 +105,7 @@
 
 void CoordinatorHost::endTerm() {
   Restored_ = false;
-  ReadingProgress_ = false;
+  ReadingProgress_ = ConfirmingTerm_ = false;
   Alive_.reset();
   JobMirror_.reset();
   Coordinator_.reset();
@@ -124,14 +126,14 @@
   if (!Coordinator_)
     return;
   JobMirror_->tick();
-  if (!Restored_) {
+  confirmTermIfDue();
+  if (Restored_)
+    Coordinator_->tick();
+  else
     restoreWhenLoaded();
-    return;
-  }
-  Coordinator_->tick();
   if (Coordinator_->superseded())
     Election_->stepDown();
-  else if (Clock_.now() >= NextCleanup_)
+  else if (Restored_ && Clock_.now() >= NextCleanup_)
     removeExpiredJobs();
 }
 
@@ -259,6 +261,9 @@
         const auto *Reply = std::get_if<store::TxnReply>(&Result);
         if (Reply != nullptr && Reply->Succeeded_) {
           SequenceRevision_ = Reply->Revision_;
+          Coordinator_->confirmTerm(SentAt);
+          NextConfirmation_ =
+              std::max(NextConfirmation_, SentAt + TermConfirmationInterval);
           Coordinator_->commitDone(Number, CommitResult::Durable);
           return;
         }
@@ -300,20 +305,45 @@
 }
 
 void CoordinatorHost::checkTerm(uint64_t Number) {
-  Store_.range(
-      Election_->termKey(), "",
-      [this, Weak = std::weak_ptr<int>(Alive_),
-       Number](const store::StoreResult<store::RangeReply> &Result) {
-        if (Weak.expired())
-          return;
-        const auto *Reply = std::get_if<store::RangeReply>(&Result);
-        bool TermEnded =
-            Reply != nullptr &&
-            (Reply->Values_.empty() ||
-             Reply->Values_.front().ModRevision_ != Election_->termRevision());
-        Coordinator_->commitDone(Number, TermEnded ? CommitResult::Superseded
-                                                   : CommitResult::Unconfirmed);
-      });
+  Store_.range(Election_->termKey(), "",
+               [this, Weak = std::weak_ptr<int>(Alive_),
+                Number](const store::StoreResult<store::RangeReply> &Result) {
+                 if (Weak.expired())
+                   return;
+                 const auto *Reply = std::get_if<store::RangeReply>(&Result);
+                 bool TermEnded = Reply != nullptr && !isTermLatest(*Reply);
+                 Coordinator_->commitDone(
+                     Number, TermEnded ? CommitResult::Superseded
+                                       : CommitResult::Unconfirmed);
+               });
+}
+
+bool CoordinatorHost::isTermLatest(const store::RangeReply &TermEntry) const {
+  return !TermEntry.Values_.empty() &&
+         TermEntry.Values_.front().ModRevision_ == Election_->termRevision();
+}
+
+// The watch of the election's keys tells nothing while it is silent, and a
+// renewed store lease does not show that the leader key still exists.
+void CoordinatorHost::confirmTermIfDue() {
+  if (ConfirmingTerm_ || Clock_.now() < NextConfirmation_)
+    return;
+  ConfirmingTerm_ = true;
+  NextConfirmation_ = Clock_.now() + TermConfirmationInterval;
+  Store_.range(Election_->termKey(), "",
+               [this, Weak = std::weak_ptr<int>(Alive_), SentAt = Clock_.now()](
+                   const store::StoreResult<store::RangeReply> &Result) {
+                 if (Weak.expired())
+                   return;
+                 ConfirmingTerm_ = false;
+                 const auto *Reply = std::get_if<store::RangeReply>(&Result);
+                 if (Reply == nullptr)
+                   return;
+                 if (isTermLatest(*Reply))
+                   Coordinator_->confirmTerm(SentAt);
+                 else
+                   Coordinator_->endTerm();
+               });
 }
 
 void CoordinatorHost::removeExpiredJobs() {
--- a/src/jobs/CoordinatorHost.h
+++ b/src/jobs/CoordinatorHost.h
@@ -41,6 +41,8 @@
   void commit(const CommitBatch &Batch);
   void verifyCommit(uint64_t Number);
   void checkTerm(uint64_t Number);
+  void confirmTermIfDue();
+  bool isTermLatest(const store::RangeReply &TermEntry) const;
   std::string sequenceValue(uint64_t Number) const;
   store::Txn termGuardedTxn() const;
   void removeExpiredJobs();
@@ -58,6 +60,8 @@
   //! are ignored.
   std::shared_ptr<int> Alive_;
   bool ReadingProgress_ = false;
+  bool ConfirmingTerm_ = false;
+  base::TimePoint NextConfirmation_;
   bool Restored_ = false;
   //! Mod revision of the sequence key on which the next commit is conditional.
   int64_t SequenceRevision_ = 0;
--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -37,7 +37,7 @@
   bool Unreachable =
       Worker.PollFailures_ >= WorkerEntry::UnreachablePollFailures ||
       !Worker.Polled_;
-  if (!Unreachable || now() <= Worker.LatestLeaseEnd_)
+  if (!Unreachable || !hasLeaseEnded(Worker))
     return;
   if (!Worker.Runs_.empty() && !abandonRuns(Worker))
     return;
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -1,7 +1,6 @@
 #include "jobs/internal/Impl.h"
 
 #include "base/Log.h"
-#include "jobs/internal/UsedWorkers.h"
 
 #include <algorithm>
 
@@ -63,7 +62,7 @@
   return Out;
 }
 
-std::string Coordinator::Impl::usedWorkersRecord() const {
+std::vector<internal::UsedWorker> Coordinator::Impl::usedWorkers() const {
   std::vector<internal::UsedWorker> Out;
   for (const WorkerEntry *Worker : WorkerOrder_) {
     bool MayHoldLongestLease = now() < Worker->LongestLeaseUntil_;
@@ -74,7 +73,7 @@
   }
   for (const auto &[Id, Gone] : AbandonedIncarnations_)
     Out.push_back({Id, Gone.Address_, Gone.StartTimeMs_, false, true, true});
-  return internal::encodeUsedWorkers(Out);
+  return Out;
 }
 
 void Coordinator::Impl::commitIfDue() {
@@ -84,8 +83,9 @@
       !DirtyJobs_.empty() &&
       (CommitUrgent_ || DirtyJobs_.size() >= Settings_.MaxCommitWrites_ ||
        now() - DirtyJobsSince_ >= Settings_.Times_.CommitBatchDelay_);
+  bool RecordUsedWorkers = UsedWorkersDirty_ && mayRecordUsedWorkers();
   bool UsedWorkersDue =
-      UsedWorkersDirty_ &&
+      RecordUsedWorkers &&
       now() - UsedWorkersDirtySince_ >= Settings_.Times_.CommitBatchDelay_;
   if (!Due && !UsedWorkersDue)
     return;
@@ -94,10 +94,17 @@
   InFlightCommit_ = InFlightCommit();
   InFlightCommit_->Number_ = Batch.Number_;
   InFlightCommit_->SentAt_ = now();
-  if (UsedWorkersDirty_) {
+  if (RecordUsedWorkers) {
     UsedWorkersDirty_ = false;
     InFlightCommit_->RecordsUsedWorkers_ = true;
-    Batch.Writes_.emplace_back(UsedWorkersKey, usedWorkersRecord());
+    std::vector<internal::UsedWorker> Rows = usedWorkers();
+    InFlightCommit_->RecordedHolders_ = static_cast<std::size_t>(std::count_if(
+        Rows.begin(), Rows.end(),
+        [](const internal::UsedWorker &Row) { return !Row.LeaseEnded_; }));
+    MaxRecordedHolders_ =
+        std::max(MaxRecordedHolders_, InFlightCommit_->RecordedHolders_);
+    Batch.Writes_.emplace_back(UsedWorkersKey,
+                               internal::encodeUsedWorkers(Rows));
     for (WorkerEntry *Worker : WorkerOrder_) {
       if (Worker->MayHoldLease_)
         InFlightCommit_->LeaseHolders_.push_back(Worker->Info_.Id_);
@@ -130,9 +137,7 @@
   InFlightCommit Finished = std::move(*InFlightCommit_);
   InFlightCommit_.reset();
   if (Result == CommitResult::Superseded) {
-    Superseded_ = true;
-    base::logEvent(base::LogLevel::Warn, "coordinator-superseded",
-                   {{"term", Settings_.Term_}, {"seen_at", "commit"}});
+    endTerm("commit");
     return;
   }
   if (Result == CommitResult::Unconfirmed) {
@@ -148,6 +153,8 @@
   }
   ++Commits_;
   CommitTime_ += now() - Finished.SentAt_;
+  if (Finished.RecordsUsedWorkers_)
+    MaxRecordedHolders_ = Finished.RecordedHolders_;
   for (const std::string &Id : Finished.LeaseHolders_)
     if (auto It = Workers_.find(Id); It != Workers_.end()) {
       It->second->RecordDurable_ = true;
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -3,6 +3,8 @@
 #include "jobs/Coordinator.h"
 #include "jobs/internal/CongestionControl.h"
 #include "jobs/internal/Tables.h"
+#include "jobs/internal/TermConfirmation.h"
+#include "jobs/internal/UsedWorkers.h"
 #include "jobs/internal/WorkMetrics.h"
 #include "jobs/internal/WorkerStability.h"
 
@@ -49,6 +51,11 @@
   void recover();
   void prepareHandover();
 
+  // Terms.cpp
+  void confirmTerm(base::TimePoint SentAt);
+  //! SeenAt says what showed that a later term has begun.
+  void endTerm(const char *SeenAt);
+
   // Commits.cpp
   void commitDone(uint64_t Number, CommitResult Result);
   bool allChangesDurable() const;
@@ -151,6 +158,10 @@
   void endIncarnation(WorkerEntry &Worker, WorkerLoss Loss, const char *Reason);
   void replaceIncarnation(WorkerEntry &Worker, const WorkerInfo &NewInfo);
   int64_t grantLease(WorkerEntry &Worker);
+  //! By when every lease on the worker has ended, unless another coordinator
+  //! renews it.
+  base::TimePoint leaseEnd(const WorkerEntry &Worker) const;
+  void fencePredecessors(WorkerEntry &Worker);
   //! Longest time after a request was sent for which a worker can hold a lease
   //! that it granted.
   base::Duration longestLeaseTime() const;
@@ -166,6 +177,20 @@
     return {Worker.Info_.Id_, Worker.Info_.Address_};
   }
 
+  // Terms.cpp: whether this term is still the latest.
+  static internal::LeaseBounds leaseBounds(const CoordinatorTimings &Times);
+  void confirmTermByWorkers();
+  base::Duration leaseTimeLeft() const;
+  bool mayStartRuns();
+  //! It is recorded as a lease holder, and may confirm the term by an answer.
+  bool mustConfirmTerm(const WorkerEntry &Worker) const;
+  bool hasLeaseEnded(const WorkerEntry &Worker) const;
+  bool mayRecordUsedWorkers() const;
+  //! For how long after the end of a term its coordinator may grant leases.
+  base::Duration lastLeaseAfterTerm() const {
+    return leaseBounds(Settings_.Times_).AfterConfirmation_;
+  }
+
   // Abandonment.cpp: runs on workers that no longer answer.
   void expireUnreachableWorkers();
   void expireIfUnreachable(const std::string &Id);
@@ -272,7 +297,7 @@
   void markUsedWorkersDirty();
   void commitIfDue();
   JobProgress progressRecord(const JobEntry &Job) const;
-  std::string usedWorkersRecord() const;
+  std::vector<internal::UsedWorker> usedWorkers() const;
   void advanceAcknowledgements();
 
   WorkerPort &Port_;
@@ -344,6 +369,20 @@
   base::Duration ReportTime_{};
   base::Duration CheckTime_{};
 
+  internal::TermConfirmation Confirmation_;
+  internal::PredecessorLeases PredecessorLeases_;
+  //! Ids of the workers that the restored record of used workers names as lease
+  //! holders, until the recovery starts.
+  std::set<std::string> RecordedHolders_;
+  //! Number of lease holders in the stored record of used workers, or more:
+  //! which of the last commits took effect may be unknown.
+  std::size_t MaxRecordedHolders_ = 0;
+  //! Whether the store confirmed the term too long ago, so that workers have
+  //! to.
+  bool StoreSilent_ = true;
+  //! No run is started, since its lease would be too short.
+  bool StartsSuspended_ = false;
+
   bool Recovering_ = false;
   //! All workers that may hold a lease of an earlier term are known.
   bool UsedWorkersComplete_ = true;
@@ -368,6 +407,8 @@
     base::TimePoint SentAt_;
     std::vector<std::pair<std::string, uint64_t>> Versions_;
     bool RecordsUsedWorkers_ = false;
+    //! Number of rows without LeaseEnded_.
+    std::size_t RecordedHolders_ = 0;
     //! Workers that are recorded as holding a lease.
     std::vector<std::string> LeaseHolders_;
     //! Workers that are recorded with RunsAbandoned_.
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -310,7 +310,7 @@
 
 void Coordinator::Impl::placeReadySteps() {
   PlacementRequested_ = false;
-  if (Superseded_)
+  if (Superseded_ || !mayStartRuns())
     return;
   renewReservations();
   base::TimePoint Now = now();
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -23,7 +23,7 @@
 bool Coordinator::Impl::needsPoll(const WorkerEntry &Worker) const {
   return !Worker.Polled_ || !Worker.Runs_.empty() || Worker.PollFailures_ > 0 ||
          Worker.AcknowledgedSequence_ > Worker.SentAcknowledgedSequence_ ||
-         !Worker.PendingAcknowledgements_.empty();
+         !Worker.PendingAcknowledgements_.empty() || mustConfirmTerm(Worker);
 }
 
 base::Duration Coordinator::Impl::pollWait(const WorkerEntry &Worker) const {
@@ -45,7 +45,7 @@
   // After a failed poll the lease is not renewed: the worker may receive polls
   // although its replies are lost, and would keep its lease forever.
   if (Worker.Clock_ && Worker.PollFailures_ == 0 && !Worker.Runs_.empty() &&
-      Worker.HeldBackSequence_ == 0)
+      Worker.HeldBackSequence_ == 0 && leaseTimeLeft().count() > 0)
     Request.LeaseUntilMs_ = grantLease(Worker);
   bool MayWait = Worker.Polled_ && Worker.PollFailures_ == 0 &&
                  !Worker.Runs_.empty() &&
@@ -118,7 +118,7 @@
         {{"worker", Worker.Info_.Id_},
          {"status", static_cast<int64_t>(Status)},
          {"runs", static_cast<int64_t>(Worker.Runs_.size())},
-         {"lease_left_ms", base::toMillis(Worker.LatestLeaseEnd_ - now())}});
+         {"lease_left_ms", base::toMillis(leaseEnd(Worker) - now())}});
   }
   Worker.NextPollAt_ =
       now() + std::min<base::Duration>(MaxPollRetryDelay,
@@ -131,8 +131,10 @@
   if (Worker.PollFailures_ >= WorkerEntry::UnreachablePollFailures)
     startProbation(Worker, "worker-reachable");
   markReachable(Worker);
+  Worker.AnsweredPollSentAt_ = SentAt;
   if (!Worker.Polled_) {
     Worker.Polled_ = true;
+    fencePredecessors(Worker);
     PlacementRequested_ = true;
   }
   if (!Worker.MayHoldLease_) {
--- a/src/jobs/internal/Speculation.cpp
+++ b/src/jobs/internal/Speculation.cpp
@@ -12,6 +12,8 @@
 } // namespace
 
 void Coordinator::Impl::startSpeculativeCopies() {
+  if (!mayStartRuns())
+    return;
   std::vector<RunEntry *> SlowRuns;
   for (auto &[Serial, Run] : Runs_) {
     StepEntry &Step = *Run->Step_;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -217,8 +217,12 @@
   //! Least time that the reply to a start has taken: what the path takes when
   //! nothing waits on it.
   base::Duration ShortestReply_ = base::Duration::max();
-  //! Latest time at which any lease of this incarnation can expire.
+  //! Latest time at which a lease that was granted in this term, or before the
+  //! worker first answered in it, can expire.
   base::TimePoint LatestLeaseEnd_;
+  //! It is recorded as a lease holder and has not answered in this term, so a
+  //! coordinator of an earlier term may still renew its lease.
+  bool MayObeyPredecessor_ = false;
   //! Until then it may hold a lease that a poll to an earlier incarnation
   //! granted, which can be longer than the usual lease.
   base::TimePoint LongestLeaseUntil_;
@@ -227,6 +231,8 @@
   bool PollInFlight_ = false;
   uint64_t PollSerial_ = 0;
   base::TimePoint PollSentAt_;
+  //! When the last poll that it answered was sent.
+  std::optional<base::TimePoint> AnsweredPollSentAt_;
   //! How long the worker may delay the reply to that poll.
   base::Duration PollWait_{};
   base::TimePoint NextPollAt_;
--- /dev/null
+++ b/src/jobs/internal/Terms.cpp
@@ -0,0 +1,107 @@
+#include "jobs/internal/Impl.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+// A coordinator learns late that a successor was elected, or never, if it is
+// cut off from the store and from the workers that the successor reaches. What
+// it may do until then depends on when its term was last confirmed; how long
+// its successor waits depends on the same bounds. See
+// docs/decisions/term-confirmation.md.
+
+namespace crocuslead::jobs {
+
+namespace {
+
+// The store confirms a term about twice a second. After this time workers have
+// to, and each is polled this often.
+constexpr auto ConfirmationInterval = std::chrono::seconds(1);
+// A run starts only with a lease of at least this part of the usual one.
+constexpr int MinLeaseDivisor = 2;
+
+} // namespace
+
+internal::LeaseBounds
+Coordinator::Impl::leaseBounds(const CoordinatorTimings &Times) {
+  return {Times.LeaseDuration_ + Times.ConfirmationSlack_,
+          Times.MaxStoreSilence_};
+}
+
+void Coordinator::Impl::confirmTerm(base::TimePoint SentAt) {
+  Confirmation_.confirmByStore(SentAt);
+}
+
+void Coordinator::Impl::endTerm(const char *SeenAt) {
+  if (std::exchange(Superseded_, true))
+    return;
+  base::logEvent(base::LogLevel::Warn, "coordinator-superseded",
+                 {{"term", Settings_.Term_}, {"seen_at", SeenAt}});
+}
+
+bool Coordinator::Impl::mustConfirmTerm(const WorkerEntry &Worker) const {
+  return StoreSilent_ && Worker.MayHoldLease_ && Worker.RecordDurable_ &&
+         now() >= Worker.AnsweredPollSentAt_.value_or(base::TimePoint()) +
+                      ConfirmationInterval;
+}
+
+// A worker that has seen a later term refuses polls, so one that answers shows
+// that no successor had reached it before the poll was sent.
+void Coordinator::Impl::confirmTermByWorkers() {
+  auto ByStore = Confirmation_.confirmedByStoreAt();
+  bool Silent = !ByStore || now() - *ByStore > ConfirmationInterval;
+  if (std::exchange(StoreSilent_, Silent) != Silent)
+    base::logEvent(
+        base::LogLevel::Info,
+        Silent ? "term-confirmed-by-workers" : "term-confirmed-by-store",
+        {{"term", Settings_.Term_},
+         {"recorded_workers", static_cast<int64_t>(MaxRecordedHolders_)}});
+  if (!Silent)
+    return;
+  std::vector<base::TimePoint> Answers;
+  for (const WorkerEntry *Worker : WorkerOrder_)
+    if (Worker->MayHoldLease_ && Worker->RecordDurable_ &&
+        Worker->AnsweredPollSentAt_)
+      Answers.push_back(*Worker->AnsweredPollSentAt_);
+  std::sort(Answers.begin(), Answers.end(), std::greater<>());
+  for (std::size_t I = 0; I < Answers.size(); ++I)
+    if (internal::confirmsTerm(I + 1, MaxRecordedHolders_)) {
+      Confirmation_.confirmByWorkers(Answers[I]);
+      return;
+    }
+}
+
+base::Duration Coordinator::Impl::leaseTimeLeft() const {
+  auto Limit = Confirmation_.leaseLimit();
+  return Limit ? *Limit - now() : base::Duration{};
+}
+
+bool Coordinator::Impl::mayStartRuns() {
+  base::Duration Left = leaseTimeLeft();
+  bool TooShort = Left < Settings_.Times_.LeaseDuration_ / MinLeaseDivisor;
+  if (std::exchange(StartsSuspended_, TooShort) != TooShort)
+    base::logEvent(base::LogLevel::Warn,
+                   TooShort ? "starts-suspended" : "starts-resumed",
+                   {{"term", Settings_.Term_},
+                    {"lease_time_left_ms", base::toMillis(Left)},
+                    {"store_silent", StoreSilent_}});
+  return !TooShort;
+}
+
+// The end of its own lease is no proof that a worker runs nothing: a successor
+// may have renewed it, unless none was elected before that end.
+bool Coordinator::Impl::hasLeaseEnded(const WorkerEntry &Worker) const {
+  auto ByStore = Confirmation_.confirmedByStoreAt();
+  return ByStore && *ByStore > leaseEnd(Worker);
+}
+
+// The record decides how many workers have to confirm an earlier term, so it
+// may not grow before that term can't be confirmed any more.
+bool Coordinator::Impl::mayRecordUsedWorkers() const {
+  return !Recovering_ || PredecessorLeases_.fenced() ||
+         now() >= PredecessorLeases_.end();
+}
+
+} // namespace crocuslead::jobs
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -1,9 +1,9 @@
 #include "jobs/internal/Impl.h"
 
 #include "base/Log.h"
-#include "jobs/internal/UsedWorkers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuslead::jobs {
 
@@ -12,10 +12,6 @@
 // A worker's clock may run up to 2% slow, so a lease on it may last that much
 // longer by the coordinator's clock.
 constexpr double MinWorkerClockRate = 0.98;
-// A predecessor may go on granting leases for this long until it learns that it
-// was superseded.
-constexpr auto PredecessorLeaseGrace = std::chrono::milliseconds(1500);
-
 // Pause before an id is polled again whose worker is gone; a new entry in the
 // registry ends it.
 constexpr auto NextIncarnationPollDelay = std::chrono::milliseconds(1000);
@@ -106,11 +102,10 @@
   for (auto &[Id, Worker] : Workers_) {
     if (Worker->Registered_ && Workers.count(Id) == 0) {
       Worker->Registered_ = false;
-      base::logEvent(
-          base::LogLevel::Warn, "worker-unlisted",
-          {{"worker", Id},
-           {"runs", static_cast<int64_t>(Worker->Runs_.size())},
-           {"lease_left_ms", millis(Worker->LatestLeaseEnd_ - now())}});
+      base::logEvent(base::LogLevel::Warn, "worker-unlisted",
+                     {{"worker", Id},
+                      {"runs", static_cast<int64_t>(Worker->Runs_.size())},
+                      {"lease_left_ms", millis(leaseEnd(*Worker) - now())}});
     }
   }
   PlacementRequested_ = true;
@@ -154,12 +149,14 @@
   Recovering_ = true;
   RecoveryStartedAt_ = now();
   NextRecoveryLogAt_ = now() + RecoveryLogInterval;
-  base::TimePoint UsualEnd =
-      now() + boundOnWorkerClock(Settings_.Times_.LeaseDuration_) +
-      PredecessorLeaseGrace;
-  for (auto &[Id, Worker] : Workers_)
-    if (Worker->MayHoldLease_ || !UsedWorkersComplete_)
-      Worker->LatestLeaseEnd_ = std::max(Worker->LatestLeaseEnd_, UsualEnd);
+  for (auto &[Id, Worker] : Workers_) {
+    Worker->MayObeyPredecessor_ =
+        Worker->MayHoldLease_ || !UsedWorkersComplete_;
+    if (!UsedWorkersComplete_)
+      RecordedHolders_.insert(Id);
+  }
+  MaxRecordedHolders_ = RecordedHolders_.size();
+  PredecessorLeases_.begin(now(), std::exchange(RecordedHolders_, {}));
   base::logEvent(base::LogLevel::Info, "recovery-started",
                  {{"term", Settings_.Term_},
                   {"jobs", static_cast<int64_t>(Jobs_.size())},
@@ -189,9 +186,14 @@
     bool SameIncarnation = Worker.Info_.StartTimeMs_ == Used.StartTimeMs_;
     // Another incarnation cannot run what the recorded one ran, but requests to
     // the recorded one may have reached it.
-    if (Used.MayHoldLongestLease_ || !SameIncarnation)
-      expectLongestLease(Worker, now() + PredecessorLeaseGrace);
+    if (!SameIncarnation)
+      expectLongestLease(Worker, now() + lastLeaseAfterTerm());
+    else if (Used.MayHoldLongestLease_)
+      expectLongestLease(Worker, now());
     Worker.MayHoldLease_ = !Used.LeaseEnded_ || !SameIncarnation;
+    Worker.RecordDurable_ = !Used.LeaseEnded_ && SameIncarnation;
+    if (!Used.LeaseEnded_)
+      RecordedHolders_.insert(Used.Id_);
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
         Worker.AbandonedInEarlierTerm_ = Used.RunsAbandoned_ && SameIncarnation;
   }
@@ -210,7 +212,7 @@
   for (const auto &[Id, Worker] : Workers_) {
     if (Worker->Polled_)
       continue;
-    if (Now < Worker->LatestLeaseEnd_)
+    if (Now < leaseEnd(*Worker))
       return;
     if (!Worker->MayHoldLease_)
       continue;
@@ -235,10 +237,10 @@
   int64_t Unlisted = 0;
   const WorkerEntry *Last = nullptr;
   for (const WorkerEntry *Worker : WorkerOrder_) {
-    if (Worker->Polled_ || now() >= Worker->LatestLeaseEnd_)
+    if (Worker->Polled_ || now() >= leaseEnd(*Worker))
       continue;
     ++(Worker->Registered_ ? Listed : Unlisted);
-    if (Last == nullptr || Worker->LatestLeaseEnd_ > Last->LatestLeaseEnd_)
+    if (Last == nullptr || leaseEnd(*Worker) > leaseEnd(*Last))
       Last = Worker;
   }
   if (Last == nullptr)
@@ -248,8 +250,9 @@
                   {"waited_ms", millis(now() - RecoveryStartedAt_)},
                   {"listed_workers", Listed},
                   {"unlisted_workers", Unlisted},
+                  {"predecessors_fenced", PredecessorLeases_.fenced()},
                   {"worker", Last->Info_.Id_},
-                  {"lease_left_ms", millis(Last->LatestLeaseEnd_ - now())}});
+                  {"lease_left_ms", millis(leaseEnd(*Last) - now())}});
 }
 
 void Coordinator::Impl::endRecovery(const char *Reason) {
@@ -270,15 +273,33 @@
 int64_t Coordinator::Impl::grantLease(WorkerEntry &Worker) {
   Worker.LastLeaseGrantAt_ = now();
   base::Duration SampleAge = now() - Worker.Clock_->TakenAt_;
-  int64_t LeaseEndMs = Worker.Clock_->WorkerMs_ +
-                       millis(SampleAge + Settings_.Times_.LeaseDuration_);
-  Worker.LatestLeaseEnd_ = std::max(
-      Worker.LatestLeaseEnd_,
-      Worker.Clock_->TakenAt_ +
-          boundOnWorkerClock(SampleAge + Settings_.Times_.LeaseDuration_));
+  base::Duration Time =
+      std::min(Settings_.Times_.LeaseDuration_, leaseTimeLeft());
+  int64_t LeaseEndMs = Worker.Clock_->WorkerMs_ + millis(SampleAge + Time);
+  Worker.LatestLeaseEnd_ =
+      std::max(Worker.LatestLeaseEnd_,
+               Worker.Clock_->TakenAt_ + boundOnWorkerClock(SampleAge + Time));
   return LeaseEndMs;
 }
 
+base::TimePoint Coordinator::Impl::leaseEnd(const WorkerEntry &Worker) const {
+  if (!Worker.MayObeyPredecessor_)
+    return Worker.LatestLeaseEnd_;
+  return std::max(
+      Worker.LatestLeaseEnd_,
+      RecoveryStartedAt_ +
+          boundOnWorkerClock(PredecessorLeases_.end() - RecoveryStartedAt_));
+}
+
+// From now on the worker refuses what a predecessor sends it.
+void Coordinator::Impl::fencePredecessors(WorkerEntry &Worker) {
+  PredecessorLeases_.fence(Worker.Info_.Id_, now());
+  if (std::exchange(Worker.MayObeyPredecessor_, false))
+    Worker.LatestLeaseEnd_ =
+        std::max(Worker.LatestLeaseEnd_,
+                 now() + boundOnWorkerClock(Settings_.Times_.LeaseDuration_));
+}
+
 void Coordinator::Impl::pollDueWorkers() {
   base::TimePoint Now = now();
   for (WorkerEntry *Worker : WorkerOrder_)
@@ -304,8 +325,12 @@
       WorkerOrder_.end());
   WorkerInfo Info = Worker.Info_;
   bool Registered = Worker.Registered_;
-  if (Worker.LastLeaseGrantAt_)
+  if (Worker.MayObeyPredecessor_)
+    EarlierLeases_[Id] = now();
+  else if (Worker.LastLeaseGrantAt_)
     EarlierLeases_[Id] = *Worker.LastLeaseGrantAt_;
+  if (Loss == WorkerLoss::IncarnationEnded)
+    PredecessorLeases_.fence(Id, now());
   rememberAbandonment(Worker);
   Workers_.erase(Id);
   markUsedWorkersDirty();
@@ -353,7 +378,7 @@
 void Coordinator::Impl::prepareHandover() {
   for (auto &[Id, Worker] : Workers_) {
     if (Worker->Runs_.empty() || !Worker->Clock_ || !isReachable(*Worker) ||
-        Worker->HeldBackSequence_ != 0)
+        Worker->HeldBackSequence_ != 0 || leaseTimeLeft().count() <= 0)
       continue;
     PollRequest Request;
     Request.FencingToken_ = Settings_.Term_;
--- a/tests/jobs/Coordinator.tests.cpp
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -367,6 +367,8 @@
   JobWorld World;
   World.RequestsReachNextIncarnation_ = true;
   World.RunDuration_ = seconds(100);
+  // Fences the former coordinator, and has no room for the task.
+  World.addWorker("w2", 500);
   startWithWorkers(World, 1);
   World.submit("a", chainJob(1, 1, 1'000));
   World.run(seconds(20));
--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -154,6 +154,37 @@
   CHECK(First.Election_.term() == 8);
 }
 
+// Guards against a coordinator that goes on because neither a commit nor a
+// worker tells it otherwise, while the watch of the election's keys is silent.
+TEST_CASE("An idle coordinator whose watch is silent notices that its term has "
+          "ended") {
+  TestCluster Cluster;
+  TestInstance First(Cluster.World_, Cluster.Store_, "a");
+  Cluster.run(First, seconds(2));
+  REQUIRE(First.Election_.term() == 1);
+  Cluster.Store_.LoseEvents_ = true;
+  Cluster.Store_.put(First.Election_.termKey(), "7");
+  Cluster.Store_.LoseEvents_ = false;
+  Cluster.run(First, milliseconds(600));
+  CHECK(First.Election_.term() != 1);
+}
+
+TEST_CASE("Without an answer of the store no term is confirmed") {
+  TestCluster Cluster;
+  TestInstance First(Cluster.World_, Cluster.Store_, "a");
+  Cluster.run(First, seconds(2));
+  auto Age = [&] {
+    return First.Host_.active()->stats().StoreConfirmationAge_.value();
+  };
+  CHECK(Age() < seconds(1));
+  Cluster.Store_.Down_ = true;
+  Cluster.run(First, seconds(2));
+  CHECK(Age() > seconds(1));
+  Cluster.Store_.Down_ = false;
+  Cluster.run(First, seconds(1));
+  CHECK(Age() < seconds(1));
+}
+
 TEST_CASE(
     "A leader whose key was removed reclaims leadership in the same term") {
   TestCluster Cluster;
