Bound leases for workers whose clock was read long ago

A task ran twice after a takeover if its worker had been idle for minutes, has a clock that is 2% slow, and was lost right after the start.

Cause: the end of a lease is given on the worker's clock, computed from the last reading of it. A worker without tasks is not polled, so the reading may be minutes old; for 10 minutes the first lease ended up to 12 s too late.

Change: the worker's clock is taken to have advanced by the least that it can, and the clock of an idle worker is read every 10 s, so that leases are at most 0.2 s shorter.

Test: 'A successor outwaits the first lease of a worker that was idle for long and whose clock is slow' failed before ('runs on w1 and w0') and passes.

--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -15,6 +15,10 @@
 // interval until they are durable.
 constexpr auto UndurablePollDelay = std::chrono::milliseconds(200);
 
+// The clock of a worker without tasks is read this often: the older the
+// reading, the shorter the next lease.
+constexpr auto MaxClockAge = std::chrono::seconds(10);
+
 // Tells soon whether a worker has outlived the start of an isolated task.
 constexpr auto ProofPollWait = std::chrono::milliseconds(120);
 
@@ -22,6 +26,7 @@
 
 bool Coordinator::Impl::needsPoll(const WorkerEntry &Worker) const {
   return !Worker.Polled_ || !Worker.Runs_.empty() || Worker.PollFailures_ > 0 ||
+         (Worker.Clock_ && now() - Worker.Clock_->TakenAt_ >= MaxClockAge) ||
          Worker.AcknowledgedSequence_ > Worker.SentAcknowledgedSequence_ ||
          !Worker.PendingAcknowledgements_.empty() || mustConfirmTerm(Worker);
 }
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -272,14 +272,14 @@
 
 int64_t Coordinator::Impl::grantLease(WorkerEntry &Worker) {
   Worker.LastLeaseGrantAt_ = now();
-  base::Duration SampleAge = now() - Worker.Clock_->TakenAt_;
   base::Duration Time =
       std::min(Settings_.Times_.LeaseDuration_, leaseTimeLeft());
-  int64_t LeaseEndMs = Worker.Clock_->WorkerMs_ + millis(SampleAge + Time);
   Worker.LatestLeaseEnd_ =
-      std::max(Worker.LatestLeaseEnd_,
-               Worker.Clock_->TakenAt_ + boundOnWorkerClock(SampleAge + Time));
-  return LeaseEndMs;
+      std::max(Worker.LatestLeaseEnd_, now() + boundOnWorkerClock(Time));
+  // The least that the worker's clock has advanced since it was read.
+  auto SinceReading = std::chrono::duration_cast<base::Duration>(
+      (now() - Worker.Clock_->TakenAt_) * MinWorkerClockRate);
+  return Worker.Clock_->WorkerMs_ + millis(SinceReading + Time);
 }
 
 base::TimePoint Coordinator::Impl::leaseEnd(const WorkerEntry &Worker) const {
--- a/tests/jobs/Takeover.tests.cpp
+++ b/tests/jobs/Takeover.tests.cpp
@@ -107,6 +107,29 @@
   CHECK_FALSE(World_.Coordinator_->stats().Recovering_);
 }
 
+// Guards against two runs of a task: a worker without tasks is not polled, so
+// its first lease was computed from an old reading of its clock.
+TEST_CASE("A successor outwaits the first lease of a worker that was idle for "
+          "long and whose clock is slow") {
+  JobWorld World;
+  World.addWorker("w0", 64'000);
+  World.addWorker("w1");
+  World.addWorker("w2");
+  World.worker("w0").ClockRate_ = 0.98;
+  World.startSuccessor();
+  World.run(seconds(600));
+  World.RunDuration_ = seconds(100);
+  World.submit("a", chainJob(1, 1));
+  World.run(milliseconds(300));
+  REQUIRE(World.Oracle_.RunningOn_["a.0.0.0"].count("w0") == 1);
+  World.worker("w0").DropsRequests_ = World.worker("w0").DropsReplies_ = true;
+  World.startSuccessor();
+  World.run(seconds(15));
+  CHECK(World.startsOf("a.0.0.0") == 2);
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
 // Guards against a limit of starts that collapses because the polls of a
 // takeover are answered late.
 TEST_CASE("A takeover with late reports does not hold back the starts after "
