Conclude from a step that found no worker only for steps with the same needs

Cause: a placement pass remembers what found no worker and skips what is like it. For best-effort steps that was every step of the image, whatever its label, size, service, limit per worker or number of tasks. Once all are overdue, the hopeless step comes first in each pass.

Change: UnplaceableSteps::covers() compares all that decides over the eligibility of a worker: a step is skipped only if each worker that is eligible for it is eligible for the one that found none. Steps with a limit per worker and gangs conclude nothing for others. One memory serves the whole pass.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -4,6 +4,7 @@
 #include "jobs/internal/CongestionControl.h"
 #include "jobs/internal/Tables.h"
 #include "jobs/internal/TermConfirmation.h"
+#include "jobs/internal/UnplaceableSteps.h"
 #include "jobs/internal/UsedWorkers.h"
 #include "jobs/internal/WorkMetrics.h"
 #include "jobs/internal/WorkerStability.h"
@@ -227,9 +228,10 @@
   enum class Urgency : uint8_t { Serving, Useful, Overdue };
   void placeReadySteps();
   static Urgency urgencyOf(const StepEntry &Step, base::TimePoint Now);
-  void placeSteps(Urgency Level, base::TimePoint Now);
-  //! Kinds of steps that found no worker in this placement pass.
-  struct UnplaceableSteps;
+  //! Unplaceable is what found no worker so far in this placement pass.
+  void placeSteps(Urgency Level, base::TimePoint Now,
+                  internal::UnplaceableSteps &Unplaceable);
+  internal::PlacementNeeds placementNeeds(const StepEntry &Step) const;
   bool placeStep(StepEntry &Step);
   bool placeGang(StepEntry &Step);
   bool isStartable(const StepEntry &Step, const TaskEntry &Task) const;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -281,32 +281,20 @@
   return true;
 }
 
-// Remembers what found no worker in a pass, so that similar steps are skipped:
-// images of best-effort steps, for which the size hardly matters, and requests
-// of other steps that have no placement constraint.
-struct Coordinator::Impl::UnplaceableSteps {
-  std::set<internal::ImageNumber> Images_;
-  std::map<std::string, std::vector<base::Resources>> Sizes_;
-
-  bool covers(const StepEntry &Step) const {
-    if (Step.Spec_->BestEffort_)
-      return Images_.count(Step.Image_) > 0;
-    auto It = Sizes_.find(Step.Job_->Record_.Queue_);
-    return It != Sizes_.end() &&
-           std::any_of(It->second.begin(), It->second.end(),
-                       [&](const base::Resources &Size) {
-                         return Size.fitsIn(Step.Spec_->Request_);
-                       });
-  }
-  void add(const StepEntry &Step) {
-    const StepSpec &Spec = *Step.Spec_;
-    if (Spec.BestEffort_)
-      Images_.insert(Step.Image_);
-    else if (Spec.RequiredLabel_.empty() && Spec.MaxPerWorker_ == 0 &&
-             !Spec.Gang_)
-      Sizes_[Step.Job_->Record_.Queue_].push_back(Spec.Request_);
-  }
-};
+internal::PlacementNeeds
+Coordinator::Impl::placementNeeds(const StepEntry &Step) const {
+  const StepSpec &Spec = *Step.Spec_;
+  internal::PlacementNeeds Out;
+  if (const QueueConfig *Queue = queueConfig(*Step.Job_))
+    Out.Service_ = Queue->Service_;
+  Out.RequiredLabel_ = Spec.RequiredLabel_;
+  Out.Request_ = Spec.Request_;
+  if (Spec.BestEffort_)
+    Out.BestEffortImage_ = Step.Image_;
+  Out.AcceptsProbation_ = acceptsProbation(Step);
+  Out.Limited_ = Spec.Gang_ || Spec.MaxPerWorker_ > 0;
+  return Out;
+}
 
 void Coordinator::Impl::placeReadySteps() {
   PlacementRequested_ = false;
@@ -314,8 +302,9 @@
     return;
   renewReservations();
   base::TimePoint Now = now();
+  internal::UnplaceableSteps Unplaceable;
   for (Urgency Level : {Urgency::Serving, Urgency::Useful, Urgency::Overdue})
-    placeSteps(Level, Now);
+    placeSteps(Level, Now, Unplaceable);
   if (!maySendStart() && !ReadySteps_.empty()) {
     ++WithheldPasses_;
     Congestion_.recordWithheld();
@@ -334,16 +323,13 @@
   return End > Step.Job_->OverdueAt_ ? Urgency::Overdue : Urgency::Useful;
 }
 
-void Coordinator::Impl::placeSteps(Urgency Level, base::TimePoint Now) {
+void Coordinator::Impl::placeSteps(Urgency Level, base::TimePoint Now,
+                                   internal::UnplaceableSteps &Unplaceable) {
   int PlacedSteps = 0;
-  UnplaceableSteps Unplaceable;
   for (auto It = ReadySteps_.begin(); It != ReadySteps_.end();) {
     StepEntry &Step = *It->second;
-    if (Unplaceable.covers(Step)) {
-      ++It;
-      continue;
-    }
-    if (urgencyOf(Step, Now) != Level) {
+    if (urgencyOf(Step, Now) != Level ||
+        Unplaceable.covers(placementNeeds(Step))) {
       ++It;
       continue;
     }
@@ -362,7 +348,7 @@
           return isStartable(Step, Task) && !mustIsolate(Task);
         });
     if (LacksWorker) {
-      Unplaceable.add(Step);
+      Unplaceable.add(placementNeeds(Step));
       if (ReservingStep_ == nullptr && isStarving(Step))
         reserveWorkers(Step);
     }
