Leave steps that the fleet could not run at all out of placement

A gang that could never start, since too few workers had its label, held a reservation for good once it was late.

Cause: a reservation asks for one worker on which a task of the step will fit, not for places for all of a gang. Besides, each pass looked at every worker for each hopeless step.

Change: a step without places for one task, or for all of a gang, even if nothing else ran, is skipped until workers, their capacity or labels, or the configuration change.

Test: 'A gang that can never start reserves no worker' fails before.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -232,6 +232,7 @@
   void placeSteps(Urgency Level, base::TimePoint Now,
                   internal::UnplaceableSteps &Unplaceable);
   internal::PlacementNeeds placementNeeds(const StepEntry &Step) const;
+  bool isUnsatisfiable(StepEntry &Step) const;
   bool placeStep(StepEntry &Step);
   bool placeGang(StepEntry &Step);
   bool isStartable(const StepEntry &Step, const TaskEntry &Task) const;
@@ -334,6 +335,8 @@
   std::map<ReadyKey, StepEntry *> ReadySteps_;
   void enqueueStep(StepEntry &Step);
 
+  //! Counts the changes of what the fleet can run at all.
+  uint64_t FleetVersion_ = 1;
   std::unordered_map<std::string, std::unique_ptr<WorkerEntry>> Workers_;
   std::vector<WorkerEntry *> WorkerOrder_;
   //! When the last request that grants a lease was sent to an incarnation that
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -196,6 +196,7 @@
 }
 
 void Coordinator::Impl::rebuildReadyQueue() {
+  ++FleetVersion_;
   ReadySteps_.clear();
   for (auto &[Id, Job] : Jobs_) {
     if (isFinal(Job->State_))
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -296,6 +296,38 @@
   return Out;
 }
 
+// Whether the fleet could not run the step even without other tasks. Such steps
+// stay in the queue, as a suitable worker may join, but must cost no time.
+bool Coordinator::Impl::isUnsatisfiable(StepEntry &Step) const {
+  if (Step.CheckedFleetVersion_ == FleetVersion_)
+    return Step.Unsatisfiable_;
+  Step.CheckedFleetVersion_ = FleetVersion_;
+  const QueueConfig *Queue = queueConfig(*Step.Job_);
+  const StepSpec &Spec = *Step.Spec_;
+  base::Resources Request = Spec.Request_;
+  if (Spec.BestEffort_)
+    Request.MilliCpu_ = 0;
+  uint32_t Wanted = Spec.Gang_ ? Spec.Count_ : 1;
+  uint32_t Places = 0;
+  for (const WorkerEntry *Worker : WorkerOrder_) {
+    if (Queue == nullptr || Worker->Info_.Service_ != Queue->Service_ ||
+        !hasRequiredLabel(Spec, *Worker))
+      continue;
+    uint32_t Limit =
+        Spec.MaxPerWorker_ > 0 ? std::min(Spec.MaxPerWorker_, Wanted) : Wanted;
+    base::Resources Used = Request;
+    for (uint32_t Here = 0;
+         Here < Limit && Used.fitsIn(Worker->Info_.Capacity_); ++Here) {
+      ++Places;
+      Used += Request;
+    }
+    if (Places >= Wanted)
+      break;
+  }
+  Step.Unsatisfiable_ = Places < Wanted;
+  return Step.Unsatisfiable_;
+}
+
 void Coordinator::Impl::placeReadySteps() {
   PlacementRequested_ = false;
   if (Superseded_ || !mayStartRuns())
@@ -328,7 +360,7 @@
   int PlacedSteps = 0;
   for (auto It = ReadySteps_.begin(); It != ReadySteps_.end();) {
     StepEntry &Step = *It->second;
-    if (urgencyOf(Step, Now) != Level ||
+    if (urgencyOf(Step, Now) != Level || isUnsatisfiable(Step) ||
         Unplaceable.covers(placementNeeds(Step))) {
       ++It;
       continue;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -135,6 +135,9 @@
   TimeSpent CriticalTime_;
   //! Starts of tasks with reserved CPU before its release.
   uint64_t StartsBeforeRelease_ = 0;
+  //! No worker could run it, as of this version of the fleet.
+  bool Unsatisfiable_ = false;
+  uint64_t CheckedFleetVersion_ = 0;
   //! When a continuing wait of its tasks is logged next.
   base::TimePoint NextWaitLogAt_;
 
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -40,6 +40,7 @@
   Worker->Sequence_ = NextSequence_++;
   Worker->NextPollAt_ = now();
   WorkerOrder_.push_back(Worker.get());
+  ++FleetVersion_;
   if (auto It = EarlierLeases_.find(Info.Id_); It != EarlierLeases_.end())
     expectLongestLease(*Worker, It->second);
   restoreAbandonment(*Worker);
@@ -89,6 +90,8 @@
       Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
     if (Info.Address_ != Worker.Info_.Address_)
       markUsedWorkersDirty();
+    if (!(Info == Worker.Info_))
+      ++FleetVersion_;
     Worker.Info_ = Info;
     if (!Worker.Registered_) {
       Worker.Registered_ = true;
@@ -323,6 +326,7 @@
   WorkerOrder_.erase(
       std::remove(WorkerOrder_.begin(), WorkerOrder_.end(), &Worker),
       WorkerOrder_.end());
+  ++FleetVersion_;
   WorkerInfo Info = Worker.Info_;
   bool Registered = Worker.Registered_;
   if (Worker.MayObeyPredecessor_)
--- a/tests/jobs/LargeTasks.tests.cpp
+++ b/tests/jobs/LargeTasks.tests.cpp
@@ -99,4 +99,20 @@
   CHECK(Fleet.World_.startsOf("large.0.0.0") == 1);
 }
 
+// Guards against a reservation that lasts for good.
+TEST_CASE_FIXTURE(BusyFleet, "A gang that can never start reserves no worker") {
+  World_.worker("w0").Info_.Labels_ = {"gpu"};
+  World_.publishWorkers();
+  run(seconds(3));
+  JobSpec Gang = chainJob(1, 2, 4'000);
+  Gang.Steps_[0].Gang_ = true;
+  Gang.Steps_[0].MaxPerWorker_ = 1;
+  Gang.Steps_[0].RequiredLabel_ = "gpu";
+  World_.submit("gang", Gang);
+  run(OverdueTime);
+  World_.submit("large", chainJob(1, 2, 12'000));
+  run(OverdueTime);
+  CHECK(World_.state("large") == JobState::Completed);
+}
+
 } // namespace crocuslead::jobs::test
