Tell why a run counts as over and when a task is found to run twice

Change: task-start gives the previous run, its worker, the reason of its end and for how long it had been known, and whether the job was restored; task-runs-twice (a warning) and crocuslead_duplicate_runs_total report a run beside another one; task-run-over gives the lease that was left; crocuslead_unreported_run_ends_total counts by reason.

--- a/src/jobs/WorkerPort.h
+++ b/src/jobs/WorkerPort.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -122,6 +123,9 @@
   NotSent,
 };
 
+//! Name of a status in logs.
+std::string_view requestStatusName(RequestStatus Status);
+
 struct RequestReply {
   RequestStatus Status_ = RequestStatus::Unknown;
   //! The worker's clock; unset when the worker did not answer.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -120,6 +120,8 @@
   void onStopReply(uint64_t Serial, const RequestReply &Reply);
   //! Use says what the time of the run is accounted as.
   void removeRun(RunEntry &Run, internal::TimeUse Use);
+  //! Removes a run that is over for the reason End, which outlives this object.
+  void endRun(RunEntry &Run, internal::TimeUse Use, const char *End);
   //! Removes a run that is over although its worker reported no end.
   void concludeUnreportedRun(RunEntry &Run, const char *Reason);
   void handleResult(WorkerEntry &Worker, const RunResult &Result);
@@ -154,6 +156,7 @@
   void queueAcknowledgement(WorkerEntry &Worker, const RunResult &Result);
   void reconcileRuns(WorkerEntry &Worker, const WorkerReport &Report,
                      base::TimePoint SentAt);
+  void reportDuplicate(const RunEntry &Found, const RunEntry &Known);
   void adoptRun(WorkerEntry &Worker, const RunStatus &Status);
   void onPollFailure(WorkerEntry &Worker, RequestStatus Status);
   void endIncarnation(WorkerEntry &Worker, WorkerLoss Loss, const char *Reason);
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -121,7 +121,7 @@
     base::logEvent(
         base::LogLevel::Warn, "worker-unreachable",
         {{"worker", Worker.Info_.Id_},
-         {"status", static_cast<int64_t>(Status)},
+         {"status", requestStatusName(Status)},
          {"runs", static_cast<int64_t>(Worker.Runs_.size())},
          {"lease_left_ms", base::toMillis(leaseEnd(Worker) - now())}});
   }
@@ -285,8 +285,29 @@
                   {"worker", Worker.Info_.Id_},
                   {"percent", Status.ProgressPercent_}});
   bool IsDuplicate = Task->Runs_.size() > 1 && !Step.Spec_->Speculative_;
+  if (IsDuplicate)
+    reportDuplicate(Run, *Task->Runs_.front());
   if (isFinal(Job->State_) || Task->Done_ || IsDuplicate)
     requestStop(Run, "not-wanted");
 }
 
+void Coordinator::Impl::reportDuplicate(const RunEntry &Found,
+                                        const RunEntry &Known) {
+  Metrics_
+      .counter("crocuslead_duplicate_runs_total",
+               "Runs that were found beside another run of their task.")
+      .add();
+  base::logEvent(base::LogLevel::Warn, "task-runs-twice",
+                 {{"task", taskName({Found.Job_->Id_, Found.Position_})},
+                  {"run", Found.Number_},
+                  {"worker", Found.Worker_->Info_.Id_},
+                  {"domain", Found.Worker_->Info_.Domain_},
+                  {"known_run", Known.Number_},
+                  {"known_worker", Known.Worker_->Info_.Id_},
+                  {"known_domain", Known.Worker_->Info_.Domain_},
+                  {"known_ms", base::toMillis(now() - Known.KnownSince_)},
+                  {"restored", Found.Job_->Restored_},
+                  {"term", Settings_.Term_}});
+}
+
 } // namespace crocuslead::jobs
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -66,7 +66,8 @@
   Run.Step_ = &Step;
   Run.Position_ = Task.Position_;
   Run.Worker_ = &Worker;
-  Run.PhaseSince_ = Run.StartedAt_ = Run.LastProgressAt_ = now();
+  Run.PhaseSince_ = Run.StartedAt_ = Run.KnownSince_ = Run.LastProgressAt_ =
+      now();
   Run.Checkpoint_ = Task.Checkpoint_;
   Run.Resumed_ = !Task.Checkpoint_.empty();
   if (Task.Runs_.empty())
@@ -119,6 +120,13 @@
   Runs_.erase(Run.Serial_);
 }
 
+void Coordinator::Impl::endRun(RunEntry &Run, internal::TimeUse Use,
+                               const char *End) {
+  TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
+  Task.Previous_ = {Run.Number_, Run.Worker_->Info_.Id_, Run.KnownSince_, End};
+  removeRun(Run, Use);
+}
+
 void Coordinator::Impl::startRun(StepEntry &Step, TaskEntry &Task,
                                  WorkerEntry &Worker, uint64_t Number) {
   if (Task.Runs_.empty())
@@ -135,16 +143,25 @@
   Request.Checkpoint_ = Task.Checkpoint_;
   Request.LeaseUntilMs_ = grantLease(Worker);
   Request.FencingToken_ = Settings_.Term_;
-  base::logEvent(base::LogLevel::Info, "task-start",
-                 {{"task", taskName(Request.Task_)},
-                  {"run", Number},
-                  {"worker", Worker.Info_.Id_},
-                  {"free_mcpu", Worker.Info_.Capacity_.MilliCpu_ -
-                                    Worker.Reserved_.MilliCpu_},
-                  {"best_effort_mcpu", Worker.BestEffortMilliCpu_},
-                  {"failures", static_cast<int64_t>(Task.FailedRuns_.size())},
-                  {"resumed", !Task.Checkpoint_.empty()},
-                  {"term", Settings_.Term_}});
+  internal::PreviousRun Previous =
+      Task.Previous_.value_or(internal::PreviousRun{});
+  base::logEvent(
+      base::LogLevel::Info, "task-start",
+      {{"task", taskName(Request.Task_)},
+       {"run", Number},
+       {"worker", Worker.Info_.Id_},
+       {"free_mcpu",
+        Worker.Info_.Capacity_.MilliCpu_ - Worker.Reserved_.MilliCpu_},
+       {"best_effort_mcpu", Worker.BestEffortMilliCpu_},
+       {"failures", static_cast<int64_t>(Task.FailedRuns_.size())},
+       {"resumed", !Task.Checkpoint_.empty()},
+       {"term", Settings_.Term_},
+       {"restored", Step.Job_->Restored_},
+       {"previous_run", Previous.Number_},
+       {"previous_worker", Previous.Worker_},
+       {"previous_end", Previous.End_},
+       {"previous_known_ms",
+        Task.Previous_ ? base::toMillis(now() - Previous.KnownSince_) : 0}});
   ++StartsInFlight_;
   ++Starts_;
   Congestion_.recordStart(now(), StartsInFlight_);
@@ -194,7 +211,7 @@
                  {{"task", taskName({Run->Job_->Id_, Run->Position_})},
                   {"run", Run->Number_},
                   {"worker", Worker.Info_.Id_},
-                  {"status", static_cast<int64_t>(Reply.Status_)}});
+                  {"status", requestStatusName(Reply.Status_)}});
   switch (Reply.Status_) {
   case RequestStatus::Fenced:
     markSuperseded("start", Worker);
@@ -218,7 +235,7 @@
     Worker.AvoidUntil_ = std::max(Worker.AvoidUntil_, now() + RefusalAvoidance);
     if (Reply.Status_ == RequestStatus::NotSent)
       markPollFailure(Worker);
-    removeRun(*Run, internal::TimeUse::LostWorker);
+    endRun(*Run, internal::TimeUse::LostWorker, "start-not-accepted");
   }
 }
 
@@ -288,12 +305,22 @@
   TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
   if (!Run.Checkpoint_.empty())
     Task.Checkpoint_ = Run.Checkpoint_;
-  base::logEvent(base::LogLevel::Info, "task-run-over",
-                 {{"task", taskName({Run.Job_->Id_, Run.Position_})},
-                  {"run", Run.Number_},
-                  {"worker", Run.Worker_->Info_.Id_},
-                  {"reason", Reason}});
-  removeRun(Run, internal::TimeUse::LostWorker);
+  base::logEvent(
+      base::LogLevel::Info, "task-run-over",
+      {{"task", taskName({Run.Job_->Id_, Run.Position_})},
+       {"run", Run.Number_},
+       {"worker", Run.Worker_->Info_.Id_},
+       {"reason", Reason},
+       {"known_ms", base::toMillis(now() - Run.KnownSince_)},
+       {"lease_left_ms", base::toMillis(leaseEnd(*Run.Worker_) - now())},
+       {"term", Settings_.Term_}});
+  Metrics_
+      .counter(
+          "crocuslead_unreported_run_ends_total",
+          "Runs that were taken for over without a result of their worker.",
+          {{"reason", Reason}})
+      .add();
+  endRun(Run, internal::TimeUse::LostWorker, Reason);
 }
 
 void Coordinator::Impl::recordOutcome(WorkerEntry &Worker, RunEntry *Run,
@@ -352,7 +379,7 @@
       Task.Checkpoint_ = Result.Checkpoint_;
     else if (!Run->Checkpoint_.empty())
       Task.Checkpoint_ = Run->Checkpoint_;
-    removeRun(*Run, timeUse(Result.Outcome_));
+    endRun(*Run, timeUse(Result.Outcome_), outcomeName(Result.Outcome_));
   }
   if (Step == nullptr || isFinal(Job->State_))
     return;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
   //! Start of the present phase.
   base::TimePoint PhaseSince_;
   base::TimePoint StartedAt_;
+  //! When it was started or adopted here.
+  base::TimePoint KnownSince_;
   int ProgressPercent_ = 0;
   base::TimePoint LastProgressAt_;
   std::string Checkpoint_;
@@ -92,6 +95,14 @@
   bool Isolated_ = false;
 };
 
+//! The last run of a task that is over for this coordinator, and why it is.
+struct PreviousRun {
+  uint64_t Number_ = 0;
+  std::string Worker_;
+  base::TimePoint KnownSince_;
+  const char *End_ = "";
+};
+
 struct TaskEntry {
   TaskPosition Position_;
   bool Done_ = false;
@@ -104,6 +115,7 @@
   std::vector<RunEntry *> Runs_;
   //! Highest number of a run that this coordinator started or found running.
   uint64_t LastRun_ = 0;
+  std::optional<PreviousRun> Previous_;
   //! Runs that were stopped as stragglers.
   uint32_t StragglerMoves_ = 0;
   //! Runs that were stopped because they were throttled for too long.
--- /dev/null
+++ b/tests/jobs/DuplicateRuns.tests.cpp
@@ -0,0 +1,41 @@
+#include "jobs/JobWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string otherWorker(const std::string &Id) {
+  return Id == "w0" ? "w1" : "w0";
+}
+
+} // namespace
+
+TEST_CASE("A run beside another run of its task is counted and stopped") {
+  JobWorld World;
+  World.addWorker("w0");
+  World.addWorker("w1");
+  World.startSuccessor();
+  World.RunDuration_ = seconds(10);
+  World.submit("a", chainJob(1, 1));
+  World.submit("b", chainJob(1, 2));
+  World.run(milliseconds(500));
+  std::string Known = *World.Oracle_.RunningOn_["a.0.0.0"].begin();
+  FakeWorker &Other = World.worker(otherWorker(Known));
+  FakeRun Copy = World.worker(Known).Runs_.at("a.0.0.0");
+  Copy.Number_ += 7;
+  Other.Runs_["a.0.0.0"] = Copy;
+  World.run(seconds(2));
+  CHECK(World.Metrics_
+            .counter("crocuslead_duplicate_runs_total",
+                     "Runs that were found beside another run of their task.")
+            .value() == 1);
+  CHECK(Other.Runs_.count("a.0.0.0") == 0);
+  CHECK(World.worker(Known).Runs_.count("a.0.0.0") == 1);
+}
+
+} // namespace crocuslead::jobs::test
