--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -1,11 +1,4 @@
-#include "jobs/CoordinatorHost.h"
-
-#include "app/FakeStore.h"
-#include "jobs/JobKeys.h"
-#include "jobs/JobWorld.h"
-
-#include <boost/leaf/handle_errors.hpp>
-#include <doctest/doctest.h>
+#include "jobs/TestCluster.h"
 
 namespace crocuslead::jobs::test {
 
@@ -14,89 +7,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-//! Serves the configuration and the workers of a JobWorld.
-class FixedFleet final : public FleetSource {
-public:
-  explicit FixedFleet(JobWorld &World) : World_(World) {}
-
-  void setHooks(Hooks /*OnChange*/) override {}
-  void tick() override {}
-  void reload() override {}
-  bool configLoaded() const override { return true; }
-  const FleetConfig &config() const override { return World_.Config_; }
-  const std::set<std::string> &unavailableDomains() const override {
-    return Out_;
-  }
-  void watchWorkers(bool /*Enabled*/) override {
-    for (const auto &[Id, Each] : World_.Workers_)
-      Workers_[Id] = Each.Info_;
-  }
-  bool workersLoaded() const override { return true; }
-  const std::map<std::string, WorkerInfo> &workers() const override {
-    return Workers_;
-  }
-
-private:
-  JobWorld &World_;
-  std::set<std::string> Out_;
-  std::map<std::string, WorkerInfo> Workers_;
-};
-
-//! One instance with its election and coordinator host on a fake store.
-struct TestInstance {
-  TestInstance(JobWorld &World, tests::FakeStore &Store,
-               const std::string &Name)
-      : Fleet_(World), Host_(Store, World, Fleet_, World.Clock_, World.Metrics_,
-                             CoordinatorTimings()),
-        Election_(Store, World.Clock_, World.Random_,
-                  {Name, Name + "-1", Name + ":1",
-                   std::string(JobKeys::ElectionPrefix)},
-                  {[this](uint64_t Term) { Host_.startTerm(Term); },
-                   [this](const char *) { Host_.endTerm(); }}) {
-    Host_.setElection(Election_);
-  }
-  void tick() {
-    Election_.tick();
-    Host_.tick();
-  }
-
-  FixedFleet Fleet_;
-  CoordinatorHost Host_;
-  Election Election_;
-};
-
-//! Workers and a fake store that the instances of a test share.
-struct TestCluster {
-  TestCluster() { World_.addWorker("w0"); }
-
-  void run(TestInstance &Instance, base::Duration Time) {
-    for (base::TimePoint End = World_.now() + Time; World_.now() < End;) {
-      Instance.tick();
-      Store_.run();
-      World_.run(milliseconds(10));
-    }
-  }
-  void submit(const std::string &Id, const JobSpec &Spec) {
-    World_.Jobs_[Id] = {"visits", Spec, World_.Clock_.wallNow()};
-    Store_.put(JobKeys::spec(Id), encode(World_.Jobs_[Id]));
-  }
-  JobProgress progress(const std::string &Id) {
-    JobProgress Out;
-    boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<void> {
-          BOOST_LEAF_ASSIGN(
-              Out,
-              decodeJobProgress(Store_.find(JobKeys::progress(Id))->Value_));
-          return {};
-        },
-        [] { FAIL("cannot decode the stored job progress"); });
-    return Out;
-  }
-
-  JobWorld World_;
-  tests::FakeStore Store_;
-};
-
 } // namespace
 
 TEST_CASE("An elected instance restores the stored jobs and runs them") {
