Start nothing after a pause until the term is confirmed again

A coordinator that wakes within 3.7 s of its last confirmation starts tasks from what it knew before the pause. Meanwhile a successor may have started the task, and a worker that refused the former term may have restarted and refuses nothing. Change: a gap of over 0.5 s between two ticks suspends starts until a confirmation whose request was sent after it. Evidence: "A coordinator that was paused starts nothing ..." fails without the check (1 start) and passes with it.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -28,6 +28,7 @@
 void Coordinator::Impl::tick() {
   if (Superseded_)
     return;
+  noteTick();
   if (now() >= NextCheckAt_) {
     NextCheckAt_ = now() + CheckInterval;
     confirmTermByWorkers();
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -186,6 +186,7 @@
   static internal::LeaseBounds leaseBounds(const CoordinatorTimings &Times);
   void confirmTermByWorkers();
   base::Duration leaseTimeLeft() const;
+  void noteTick();
   bool mayStartRuns();
   //! It is recorded as a lease holder, and may confirm the term by an answer.
   bool mustConfirmTerm(const WorkerEntry &Worker) const;
@@ -391,8 +392,12 @@
   //! Whether the store confirmed the term too long ago, so that workers have
   //! to.
   bool StoreSilent_ = true;
-  //! No run is started, since its lease would be too short.
+  //! No run is started, since its lease would be too short or the term is not
+  //! confirmed since a pause.
   bool StartsSuspended_ = false;
+  base::TimePoint LastTickAt_;
+  //! End of the last pause between ticks.
+  base::TimePoint ResumedAt_;
 
   bool Recovering_ = false;
   //! All workers that may hold a lease of an earlier term are known.
--- a/src/jobs/internal/TermConfirmation.cpp
+++ b/src/jobs/internal/TermConfirmation.cpp
@@ -15,14 +15,21 @@
   ByWorkers_ = std::max(ByWorkers_.value_or(SentAt), SentAt);
 }
 
-std::optional<base::TimePoint> TermConfirmation::leaseLimit() const {
+std::optional<base::TimePoint> TermConfirmation::confirmedAt() const {
   if (!ByStore_)
     return std::nullopt;
   base::TimePoint Confirmed = *ByStore_;
   if (ByWorkers_)
     Confirmed = std::max(
         Confirmed, std::min(*ByWorkers_, *ByStore_ + Bounds_.MaxStoreSilence_));
-  return Confirmed + Bounds_.AfterConfirmation_;
+  return Confirmed;
+}
+
+std::optional<base::TimePoint> TermConfirmation::leaseLimit() const {
+  auto Confirmed = confirmedAt();
+  if (!Confirmed)
+    return std::nullopt;
+  return *Confirmed + Bounds_.AfterConfirmation_;
 }
 
 void PredecessorLeases::begin(base::TimePoint Now,
--- a/src/jobs/internal/TermConfirmation.h
+++ b/src/jobs/internal/TermConfirmation.h
@@ -48,6 +48,8 @@
   //! Whether the term was the latest at this revision of the store, so that a
   //! successor finds what was written at it, or before, in its first reading.
   bool coversRevision(int64_t Revision) const { return Revision <= Revision_; }
+  //! The latest confirmation; unset before the first one by the store.
+  std::optional<base::TimePoint> confirmedAt() const;
   //! Latest end of a lease that may be granted; unset before the first
   //! confirmation by the store.
   std::optional<base::TimePoint> leaseLimit() const;
--- a/src/jobs/internal/Terms.cpp
+++ b/src/jobs/internal/Terms.cpp
@@ -21,6 +21,9 @@
 constexpr auto ConfirmationInterval = std::chrono::seconds(1);
 // A run starts only with a lease of at least this part of the usual one.
 constexpr int MinLeaseDivisor = 2;
+// A longer pause between ticks may have lasted for an election. Late ticks of a
+// coordinator under load are shorter.
+constexpr auto MaxTickGap = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -87,16 +90,30 @@
   return Limit ? *Limit - now() : base::Duration{};
 }
 
+// In a pause a successor may have been elected, and a worker that it had polled
+// may have restarted, so that it refuses nothing that this term sends.
+void Coordinator::Impl::noteTick() {
+  base::TimePoint Now = now();
+  base::TimePoint Last = std::exchange(LastTickAt_, Now);
+  if (Last == base::TimePoint() || Now - Last <= MaxTickGap)
+    return;
+  ResumedAt_ = Now;
+  base::logEvent(
+      base::LogLevel::Warn, "coordinator-paused",
+      {{"term", Settings_.Term_}, {"pause_ms", base::toMillis(Now - Last)}});
+}
+
 bool Coordinator::Impl::mayStartRuns() {
   base::Duration Left = leaseTimeLeft();
-  bool TooShort = Left < Settings_.Times_.LeaseDuration_ / MinLeaseDivisor;
-  if (std::exchange(StartsSuspended_, TooShort) != TooShort)
+  bool Suspended = Left < Settings_.Times_.LeaseDuration_ / MinLeaseDivisor ||
+                   Confirmation_.confirmedAt() < ResumedAt_;
+  if (std::exchange(StartsSuspended_, Suspended) != Suspended)
     base::logEvent(base::LogLevel::Warn,
-                   TooShort ? "starts-suspended" : "starts-resumed",
+                   Suspended ? "starts-suspended" : "starts-resumed",
                    {{"term", Settings_.Term_},
                     {"lease_time_left_ms", base::toMillis(Left)},
                     {"store_silent", StoreSilent_}});
-  return !TooShort;
+  return !Suspended;
 }
 
 // The end of its own lease is no proof that a worker runs nothing: a successor
--- a/tests/jobs/Terms.tests.cpp
+++ b/tests/jobs/Terms.tests.cpp
@@ -149,6 +149,30 @@
   CHECK(starts() == Starts);
 }
 
+TEST_CASE("A coordinator that was paused starts nothing before its term is "
+          "confirmed again") {
+  CutFleet Fleet;
+  JobWorld &World = Fleet.World_;
+  World.crashCoordinator();
+  World.Times_.MaxStoreSilence_ = {};
+  World.startSuccessor();
+  World.run(milliseconds(200));
+  World.RunDuration_ = seconds(2);
+  World.submit("a", chainJob(1, Workers, 16'000));
+  World.run(milliseconds(200));
+  World.submit("b", chainJob(1, 1));
+  World.run(milliseconds(100));
+  REQUIRE(Fleet.starts() == static_cast<int>(Workers));
+  World.StoreDown_ = true;
+  World.Clock_.advance(milliseconds(2200));
+  World.run(milliseconds(300));
+  REQUIRE(World.Oracle_.EverDone_.size() == Workers);
+  CHECK(World.startsOf("b.0.0.0") == 0);
+  World.StoreDown_ = false;
+  World.run(seconds(1));
+  CHECK(World.startsOf("b.0.0.0") == 1);
+}
+
 TEST_CASE_FIXTURE(CutFleet, "A coordinator that is cut off with most workers "
                             "keeps their tasks running") {
   World_.submit("a", longRunning(spreadTasks(Workers)));
