Do not take a run for over that a full list of results may leave out

Change: a report says whether results may be missing. With such a report no run is concluded, and the record that results of the worker are void is kept.

--- a/src/jobs/WorkerPort.h
+++ b/src/jobs/WorkerPort.h
@@ -98,7 +98,10 @@
   //! Start time of the incarnation that answered, see WorkerInfo.
   int64_t StartTimeMs_ = 0;
   std::vector<RunStatus> Running_;
+  //! By sequence number.
   std::vector<RunResult> Ended_;
+  //! There may be results after those in Ended_.
+  bool Truncated_ = false;
 };
 
 enum class RequestStatus : uint8_t {
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -194,7 +194,8 @@
         Result.Outcome_ == RunOutcome::LeaseExpired)
       releaseHeldBack(Worker);
   }
-  if (Worker.RunsAbandoned_ && Worker.HeldBackSequence_ == 0) {
+  if (Worker.RunsAbandoned_ && Worker.HeldBackSequence_ == 0 &&
+      !Report.Truncated_) {
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
         Worker.AbandonedInEarlierTerm_ = false;
     markUsedWorkersDirty();
@@ -229,10 +230,13 @@
 }
 
 // A run that the worker reports neither as running nor as ended does not exist,
-// provided that the poll was sent after the reply to the run's last request.
+// provided that all results are listed and that the poll was sent after the
+// reply to the run's last request.
 void Coordinator::Impl::reconcileRuns(WorkerEntry &Worker,
                                       const WorkerReport &Report,
                                       base::TimePoint SentAt) {
+  if (Report.Truncated_)
+    return;
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_)) {
     bool Listed =
         std::any_of(Report.Running_.begin(), Report.Running_.end(),
--- a/tests/jobs/DuplicateRuns.tests.cpp
+++ b/tests/jobs/DuplicateRuns.tests.cpp
@@ -38,4 +38,27 @@
   CHECK(World.worker(Known).Runs_.count("a.0.0.0") == 1);
 }
 
+TEST_CASE("A run whose result is beyond those that its worker lists is not "
+          "taken for over") {
+  JobWorld World;
+  World.MaxListedResults_ = 4;
+  World.addWorker("w0");
+  World.addWorker("w1");
+  World.startSuccessor();
+  World.run(milliseconds(200));
+  World.submit("a", chainJob(1, 16, 2'000));
+  World.run(milliseconds(300));
+  World.StoreDown_ = true;
+  World.run(seconds(4));
+  CHECK(World.Oracle_.EverDone_.size() == 16);
+  World.StoreDown_ = false;
+  World.run(seconds(3));
+  CHECK(World.state("a") == JobState::Completed);
+  for (const auto &[Task, Starts] : World.Oracle_.Starts_) {
+    CAPTURE(Task);
+    CHECK(Starts == 1);
+  }
+  CHECK(World.Oracle_.Violations_.empty());
+}
+
 } // namespace crocuslead::jobs::test
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -339,6 +339,9 @@
   Report.ClockMs_ = workerClockMs(Worker);
   Report.StartTimeMs_ = Worker.Info_.StartTimeMs_;
   Report.Ended_ = Worker.Ended_;
+  Report.Truncated_ = Report.Ended_.size() >= MaxListedResults_;
+  if (Report.Truncated_)
+    Report.Ended_.resize(MaxListedResults_);
   for (const auto &[Name, Run] : Worker.Runs_) {
     const StepSpec &Spec =
         Jobs_.at(Run.Task_.Job_).Spec_.Steps_.at(Run.Task_.Position_.Step_);
