Create the occurrences that an earlier term started, whatever the time of day

Seen: in a test, tasks of a recurring job run twice after a takeover by an instance whose time of day is 3 s behind: one that was done starts again, one that runs is stopped and started anew. An occurrence that is not due by the successor's clock had no entry, so its stored progress was dropped, its runs were stopped as unknown and its results acknowledged unread. Change: an occurrence that the progress, a run or a result names is created; what has run was due. Evidence: "A successor whose time of day is behind ..." fails before (2 starts of each task, violations of the oracle) and passes.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -85,6 +85,8 @@
 
   // Jobs.cpp: acceptance, progress and completion of jobs.
   void createDueOccurrences(JobEntry &Job);
+  //! Creates the occurrences up to one of which a task was started.
+  void createStartedOccurrence(JobEntry &Job, uint32_t Number);
   void createOccurrence(JobEntry &Job, uint32_t Number);
   void restoreProgress(JobEntry &Job, const JobProgress &Progress);
   void releaseSteps(OccurrenceEntry &Occurrence,
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -96,15 +96,19 @@
   if (isFinal(Job.State_))
     return;
   if (Progress) {
-    for (const TaskPosition &Position : Progress->DoneTasks_)
+    for (const TaskPosition &Position : Progress->DoneTasks_) {
+      createStartedOccurrence(Job, Position.Occurrence_);
       if (StepEntry *Step = findStep(Job, Position))
         completeTask(Job, *Step, Step->Tasks_[Position.Index_]);
-    for (const auto &[Position, Unfinished] : Progress->UnfinishedTasks_)
+    }
+    for (const auto &[Position, Unfinished] : Progress->UnfinishedTasks_) {
+      createStartedOccurrence(Job, Position.Occurrence_);
       if (StepEntry *Step = findStep(Job, Position)) {
         Step->Tasks_[Position.Index_].FailedRuns_ = Unfinished.FailedRuns_;
         Step->Tasks_[Position.Index_].Checkpoint_ = Unfinished.Checkpoint_;
         restoreCrashes(Job, Step->Tasks_[Position.Index_], Unfinished.Crashes_);
       }
+    }
   }
   base::logEvent(
       base::LogLevel::Info, "job-known",
@@ -145,6 +149,15 @@
     createOccurrence(Job, Job.NextOccurrence_++);
 }
 
+// What has run was due by the clock of the coordinator that started it.
+void Coordinator::Impl::createStartedOccurrence(JobEntry &Job,
+                                                uint32_t Number) {
+  uint32_t Last = std::max<uint32_t>(1, Job.Record_.Spec_.Repetitions_) - 1;
+  while (Job.NextOccurrence_ <= std::min(Number, Last) &&
+         Job.Occurrences_.size() < MaxOpenOccurrences)
+    createOccurrence(Job, Job.NextOccurrence_++);
+}
+
 void Coordinator::Impl::createOccurrence(JobEntry &Job, uint32_t Number) {
   OccurrenceEntry &Occurrence = Job.Occurrences_[Number];
   Occurrence.Number_ = Number;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -152,6 +152,8 @@
   for (const RunStatus &Status : Report.Running_) {
     RunEntry *Run = findRunOnWorker(Worker, Status.Task_, Status.Run_);
     if (Run == nullptr) {
+      if (JobEntry *Job = findJob(Status.Task_.Job_))
+        createStartedOccurrence(*Job, Status.Task_.Position_.Occurrence_);
       adoptRun(Worker, Status);
       continue;
     }
@@ -186,6 +188,8 @@
     if (Result.SequenceNumber_ <= Worker.LastResultSequence_)
       continue;
     Worker.LastResultSequence_ = Result.SequenceNumber_;
+    if (JobEntry *Job = findJob(Result.Task_.Job_))
+      createStartedOccurrence(*Job, Result.Task_.Position_.Occurrence_);
     if (mustHoldBack(Worker, Report, Result))
       holdBack(Worker, Result);
     handleResult(Worker, Result);
--- a/tests/jobs/DuplicateRuns.tests.cpp
+++ b/tests/jobs/DuplicateRuns.tests.cpp
@@ -61,4 +61,31 @@
   CHECK(World.Oracle_.Violations_.empty());
 }
 
+TEST_CASE("A successor whose time of day is behind does not start what ran in "
+          "an occurrence that is not due by its own clock") {
+  JobWorld World;
+  World.addWorker("w0");
+  World.addWorker("w1");
+  World.startSuccessor();
+  World.run(milliseconds(200));
+  World.RunPlan_ = [](const TaskId &Id) {
+    bool First = Id.Position_.Index_ == 0;
+    return std::make_pair(
+        base::Duration(First ? milliseconds(300) : seconds(4)), false);
+  };
+  JobSpec Spec = chainJob(1, 2);
+  Spec.Repetitions_ = 2;
+  Spec.FirstRun_ = World.Clock_.wallNow() + seconds(1);
+  Spec.Interval_ = seconds(10);
+  World.submit("a", Spec);
+  World.run(seconds(2));
+  REQUIRE(World.Oracle_.EverDone_.count("a.0.0.0") == 1);
+  World.Clock_.shiftWall(seconds(-3));
+  World.startSuccessor();
+  World.run(seconds(6));
+  CHECK(World.startsOf("a.0.0.0") == 1);
+  CHECK(World.startsOf("a.0.0.1") == 1);
+  CHECK(World.Oracle_.Violations_.empty());
+}
+
 } // namespace crocuslead::jobs::test
