Add randomized runs that change coordinators in three failure domains

scripts/terms runs real entry instances against stand-in workers and checks TWICE from what the workers saw. The stand-ins gain leases that pause in an outage, the items of a 412, the end of a lease by request, and a lease that is checked before each request, so that a check that is due later does not count against an instance.

--- /dev/null
+++ b/scripts/lib/domains.py
@@ -0,0 +1,151 @@
+"""Entries, store and workers in failure domains, for terms.py.
+
+A run of terms.py gives the cuts (passes), the instance of each term (terms) and the entry that sent a request
+(sender), which a worker tells by the fencing token.
+"""
+
+import asyncio
+import json
+import math
+import socket
+import time
+
+import soak
+from platform_standin import Drop, Store, Worker, make_random
+
+DOMAINS = ("d0", "d1", "d2")
+STORE_DOMAIN = DOMAINS[0]
+HELD_UP_SHARE = 0.3  # requests lost in a cut that arrive after all, when their sender has given up
+HANG_SECONDS = 20
+PORTS = (7100, 7101, 7720, 9464)
+
+
+def free_address(rng=make_random(None)):
+    """A loopback address that no other run uses."""
+    while True:
+        ip, sockets = f"127.{rng.randint(1, 250)}.{rng.randint(1, 250)}.{rng.randint(2, 250)}", []
+        try:
+            for port in PORTS:
+                sockets.append(socket.socket())
+                sockets[-1].bind((ip, port))
+            return ip
+        except OSError:
+            continue
+        finally:
+            for each in sockets:
+                each.close()
+
+
+async def hang():
+    await asyncio.sleep(HANG_SECONDS)
+    raise Drop
+
+
+class Entry(soak.Instance):
+    """One entry instance of a domain with its own path to the store."""
+
+    def __init__(self, name, domain, folder, run):
+        self.name, self.domain, self.run, self.ip = name, domain, run, free_address()
+        self.path, self.process = f"{folder}/{name}.conf", None
+        self.log = open(f"{folder}/{name}.log", "ab")
+        self.cuts, self.lose = 0, 0.0
+        self.watches = None  # while only watches pass: (prefix, whether new ones do)
+        self.answered_at = -math.inf
+
+    def write(self, port, max_hold_ms):
+        zones = "".join(f"zones.{d}=r1\n" for d in DOMAINS)
+        with open(self.path, "w", encoding="ascii") as out:
+            out.write(f"node={self.name}\nrole=entry\nip={self.ip}\nzone={self.domain}\nregion=r1\n{zones}"
+                      f"listen_addresses.front={self.ip}:7100\nlisten_addresses.ready={self.ip}:7101\n"
+                      f"internal_port_range=7720,7735\nplatform.address=127.0.0.1:{port}\nplatform.form=kv\n"
+                      "platform.writes_per_s=400\nplatform.reads_per_s=2000\nplatform.history_s=20\n"
+                      "heartbeat_interval_ms=1100\norders=call\ndiscovery=platform\nlimits.cpu_share=0.25\n"
+                      f"bounds.max_hold_ms={max_hold_ms}\nbounds.stop_timeout_ms=400\nbounds.status_s=120\n"
+                      "bounds.harm_ms=4000\nbounds.grace_period_s=6\nbounds.config_apply_ms=3000\n")
+
+    def blocked(self):
+        passes = self.run.passes(self.domain, STORE_DOMAIN, "store")
+        return self.cuts > 0 or not passes
+
+    async def store_call(self, method, path, query, headers, body):
+        watch = path.endswith("kv-watch")
+
+        def let_through(new):
+            return watch and self.watches and query["prefix"].startswith(self.watches[0]) and (
+                not new or self.watches[1])
+
+        if self.blocked() and not let_through(True):
+            await hang()
+        answer = await self.run.store.handle(method, path, query, headers, body)
+        lost = self.blocked() or self.run.store.mode == "silent" or self.run.rng.random() < self.lose
+        if lost and not let_through(False):
+            await hang()
+        self.answered_at = time.monotonic()
+        return answer
+
+
+class TermStore(Store):
+    """Notes which instance began which term."""
+
+    def __init__(self, rng, run):
+        super().__init__(rng)
+        self.run = run
+
+    def put(self, key, value, lease=0):
+        super().put(key, value, lease)
+        if key == "crocuslead/office/holder":
+            leader = json.loads(value)
+            if leader["term"] not in self.run.terms:
+                self.run.terms[leader["term"]] = (leader["instance"], time.monotonic())
+                self.run.note(f"term {leader['term']} of {leader['instance']}")
+
+
+class DomainWorker(Worker):
+    """A worker that requests and answers reach as the cuts allow."""
+
+    def __init__(self, name, run, rng, domain):
+        self.run, self.loses_answers = run, False
+        super().__init__(name, run.account, rng, zone=domain, rack=f"{domain}-1")
+        self.max_hold_ms, self.clock_rate = run.args.max_hold_ms, rng.uniform(0.98, 1.0)
+
+    def life(self):
+        super().life()
+        self.run.account.lapsed(self.name)
+        self.renewed, self.polled, self.listed = {}, {}, {}
+
+    def lapse(self):
+        if self.clock() >= self.lease_end:
+            self.run.account.lapsed(self.name)
+        super().lapse()
+
+    def length(self, task):
+        if task[0] == "a":
+            return math.inf if self.rng.random() < 0.95 else self.rng.uniform(2, 15)
+        return self.rng.uniform(0.1, 3.0)
+
+    def fails(self, task):
+        return task[0] == "a" or super().fails(task)
+
+    async def hold(self, data):
+        sender, now = self.run.sender(data), time.monotonic()
+        if data.get("fencing_token", 0) >= self.token:
+            self.polled.setdefault(data.get("fencing_token", 0), now)
+            if "until_ms" in data:
+                self.renewed[sender.name if sender else None] = now
+        return await super().hold(data)
+
+    async def handle(self, method, path, query, headers, body):
+        data, born = json.loads(body), self.born
+        sender = self.run.sender(data)
+        call = path.rsplit("/", 1)[1].replace("-", "_")
+        if sender and not self.run.passes(sender.domain, self.zone, "worker"):
+            if call != "hold" and self.rng.random() < HELD_UP_SHARE:
+                asyncio.get_running_loop().create_task(self.late(call, data, born))
+            await hang()
+        answer = await super().handle(method, path, query, headers, body)
+        lost = sender and not self.run.passes(self.zone, sender.domain, "worker")
+        if lost or self.loses_answers or born != self.born:
+            await hang()
+        if call == "hold" and answer[0] == 200 and sender:
+            self.listed[sender.name] = time.monotonic()
+        return answer
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -1,14 +1,16 @@
-"""Stand-in for the users' platform: metadata store and workers, for the soak.
+"""Stand-in for the users' platform: metadata store and workers, for the randomized runs soak.py and terms.py.
 
 It speaks the published protocol over HTTP/1.1 on loopback and keeps its own account of what ran, which
-the soak checks. Faults are switched on by the soak through the attributes of Store and Worker.
+the scripts check. They switch faults on through the attributes of Store and Worker.
 """
 
 import asyncio
 import base64
 import json
+import math
 import random
 import time
+from itertools import takewhile
 from urllib.parse import parse_qs, urlsplit
 
 MAX_BODY = 8 << 20
@@ -52,9 +54,10 @@
     def __init__(self, rng):
         self.rng = rng
         self.items, self.history, self.leases = {}, [], {}
-        self.revision, self.next_lease = 1, 100
+        self.revision, self.next_lease, self.compacted = 1, 100, 0
         self.changed = asyncio.Condition()
         self.mode = None  # None, "busy" or "silent"
+        self.keeps_leases = False  # whether leases pause while a mode is set
         self.lose_answers = 0.0
         self.late_writes = 0.0
 
@@ -76,7 +79,11 @@
 
     async def expire(self):
         while True:
+            before = time.monotonic()
             await asyncio.sleep(0.1)
+            if self.mode and self.keeps_leases:
+                paused = time.monotonic() - before
+                self.leases = {lease: (ttl, end + paused) for lease, (ttl, end) in self.leases.items()}
             for lease, (ttl, end) in list(self.leases.items()):
                 if time.monotonic() > end:
                     await self.end_lease(lease)
@@ -114,7 +121,7 @@
         for row in data.get("expected", []):
             item = self.items.get(row["key"])
             if (item["revision"] if item else 0) != row["revision"]:
-                return 412, {"items": []}
+                return 412, {"items": [self.items[r["key"]] for r in data["expected"] if r["key"] in self.items]}
         for row in data.get("puts", []):
             if row.get("lease", 0) and row["lease"] not in self.leases:
                 return 404, {}
@@ -136,11 +143,13 @@
 
     async def kv_watch(self, path, query, data):
         after, prefix = int(query["after"]), query["prefix"]
-        if self.history and after + 1 < self.history[0]["revision"] and after < self.revision - len(self.history):
+        if after < self.compacted:
             return 410, {}
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            events = [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
+            # The history is in the order of revisions, so newer events are at its end.
+            events = [e for e in takewhile(lambda e: e["revision"] > after, reversed(self.history))
+                      if e["key"].startswith(prefix)][::-1]
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
@@ -163,8 +172,12 @@
         self.leases[lease] = (ttl, time.monotonic() + ttl)
         return 200, {"ttl_ms": int(ttl * 1000)}
 
+    async def kv_lease_end(self, path, query, data):
+        await self.end_lease(int(path.rsplit("/", 1)[1]))
+        return 200, {}
+
     def compact(self):
-        self.history = []
+        self.history, self.compacted = [], self.revision
 
 
 class Account:
@@ -181,33 +194,38 @@
             self.breaches.append(f"{task} starts on {worker} after its end was acknowledged")
         self.running.setdefault(task, set()).add(worker)
 
-    def end(self, task, worker):
+    def end(self, task, worker, how):
         self.running.get(task, set()).discard(worker)
 
+    def noted(self, task, worker, run):
+        """A coordinator has taken note of an end `done`."""
+        self.done[task] = True
+
 
 class Worker:
     """A worker that runs tasks under leases and fencing tokens."""
 
-    def __init__(self, name, account, rng, cpu=16000):
+    def __init__(self, name, account, rng, cpu=16000, zone="z1", rack="r1"):
         self.name, self.account, self.rng, self.cpu = name, account, rng, cpu
+        self.zone, self.rack, self.max_hold_ms, self.clock_rate = zone, rack, None, 1.0
         self.fail_share, self.stands, self.late_orders = 0.02, False, 0.0
         self.life()
 
     def life(self):
         for task in list(getattr(self, "runs", {})):
-            self.account.end(task, self.name)
+            self.account.end(task, self.name, "crash")
         self.born, self.born_at = int(time.time() * 1000), time.monotonic()
         self.runs, self.ends, self.highest = {}, [], {}
         self.token, self.lease_end, self.next_end, self.sequence = 0, 0.0, 1, 0
         self.event = asyncio.Event()
 
     def clock(self):
-        return int((time.monotonic() - self.born_at) * 1000)
+        return int((time.monotonic() - self.born_at) * 1000 * self.clock_rate)
 
     def entry(self, port):
         self.sequence += 1
-        return json.dumps({"service": "desk", "address": f"127.0.0.1:{port}", "zone": "z1", "version": "v1",
-                           "slots": 8, "state": "ready", "cold_remaining_ms": 0, "labels": ["a", "r1"],
+        return json.dumps({"service": "desk", "address": f"127.0.0.1:{port}", "zone": self.zone, "version": "v1",
+                           "slots": 8, "state": "ready", "cold_remaining_ms": 0, "labels": ["a", self.rack],
                            "room": {"cpu": self.cpu, "memory_limit_mb": 64000, "gpus": 0},
                            "sequence": self.sequence, "born": self.born}).encode()
 
@@ -215,17 +233,34 @@
         run = self.runs.pop(task)
         self.ends.append([self.next_end, task, run["run"], how, ""])
         self.next_end += 1
-        self.account.end(task, self.name)
+        self.account.end(task, self.name, how)
         self.event.set()
 
+    def lapse(self):
+        """Ends all runs if the lease has ended."""
+        if self.clock() >= self.lease_end:
+            for task in list(self.runs):
+                self.finish(task, "lapsed")
+
+    def extend(self, until):
+        if self.max_hold_ms is not None:
+            until = min(until, self.clock() + self.max_hold_ms)
+        self.lease_end = max(self.lease_end, until)
+
+    def length(self, task):
+        """Gives the run time of a task; infinite for one that lasts."""
+        return self.rng.uniform(0.1, 0.8)
+
+    def fails(self, task):
+        return self.rng.random() < self.fail_share
+
     async def work(self):
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
+            self.lapse()
             for task in list(self.runs):
-                if self.clock() >= self.lease_end:
-                    self.finish(task, "lapsed")
-                elif not self.stands and now >= self.runs[task]["until"]:
+                if not self.stands and now >= self.runs[task]["until"]:
                     self.finish(task, "failed" if self.runs[task]["fails"] else "done")
 
     def fenced(self, data):
@@ -243,16 +278,16 @@
         task, run = data["task"], data["run"]
         if data["until_ms"] <= self.clock():
             return self.refuse("late")
-        self.lease_end = max(self.lease_end, data["until_ms"])
+        self.extend(data["until_ms"])
         if task in self.runs and self.runs[task]["run"] == run:
             return 200, {"clock_ms": self.clock()}
         if run <= self.highest.get(task, 0):
             return self.refuse("old")
         self.highest[task] = run
         self.account.start(task, self.name, data)
-        length = self.rng.uniform(0.1, 0.8)
+        length = self.length(task)
         self.runs[task] = {"run": run, "from": time.monotonic(), "until": time.monotonic() + length,
-                           "fails": self.rng.random() < self.fail_share}
+                           "fails": self.fails(task)}
         return 200, {"clock_ms": self.clock()}
 
     def run_stop(self, data):
@@ -268,10 +303,10 @@
         if self.fenced(data):
             return self.refuse("fence")
         if "until_ms" in data:
-            self.lease_end = max(self.lease_end, data["until_ms"])
+            self.extend(data["until_ms"])
         for end in self.ends:
             if end[0] <= data["last_seen"] and end[3] == "done":
-                self.account.done[end[1]] = True
+                self.account.noted(end[1], self.name, end[2])
         self.ends = [e for e in self.ends if e[0] > data["last_seen"]]
         if not self.ends and data.get("wait_ms"):
             self.event.clear()
@@ -280,7 +315,8 @@
             except asyncio.TimeoutError:
                 pass
         now = time.monotonic()
-        rows = [[t, r["run"], "", min(99, int(100 * (now - r["from"]) / max(0.01, r["until"] - r["from"]))), 500]
+        rows = [[t, r["run"], "", 100 if r["until"] == math.inf else
+                 min(99, int(100 * (now - r["from"]) / max(0.01, r["until"] - r["from"]))), 500]
                 for t, r in self.runs.items()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": rows, "ended": self.ends[:500]}
 
@@ -288,6 +324,8 @@
         if headers.get("crocuslead-expected-instance", self.name) != self.name:
             return 421, {}
         call, data = path.rsplit("/", 1)[1].replace("-", "_"), json.loads(body)
+        # A lease that has ended is not renewed, even if the check of work() is due later.
+        self.lapse()
         if call != "hold" and self.rng.random() < self.late_orders:
             asyncio.get_running_loop().create_task(self.late(call, data, self.born))
             await asyncio.sleep(5)
@@ -300,6 +338,7 @@
     async def late(self, call, data, born):
         await asyncio.sleep(self.rng.uniform(*LATE_SECONDS))
         if born == self.born:
+            self.lapse()
             getattr(self, call)(data)
 
 
--- /dev/null
+++ b/scripts/lib/runs.py
@@ -0,0 +1,133 @@
+"""What ran where and by whose order, as the workers of terms.py saw it, checked against TWICE and measured.
+
+A run of terms.py gives the workers and entries by name, and for each term its instance and the time it began.
+"""
+
+import collections
+import math
+import statistics
+import time
+
+from platform_standin import Account
+
+MEASURES = ("between the orders", "last renewal by the later sender", "first poll by a successor",
+            "last list to the later sender", "next term began", "store last answered the later sender", "overlap")
+
+
+class Runs(Account):
+    """What ran where and by whose order; finds the breaches of TWICE and measures them."""
+
+    def __init__(self, run):
+        super().__init__()
+        self.run, self.starts, self.overlaps = run, 0, collections.defaultdict(list)
+        self.ends, self.pending = collections.defaultdict(list), []
+
+    def start(self, task, worker, order):
+        self.starts += 1
+        self.started.add(task.split(".")[0])
+        now, term = time.monotonic(), order.get("fencing_token", 0)
+        later = {"run": order["run"], "worker": worker, "domain": self.run.workers[worker].zone, "term": term,
+                 "sender": self.run.terms.get(term, ("?", 0))[0], "at": now}
+        running = self.running.setdefault(task, {})
+        for other in list(running):
+            # A lease that has ended is not held against the start, even if the check of work() is due later.
+            self.run.workers[other].lapse()
+        for earlier in running.values():
+            self.overlaps[task].append(self.measure("at once", task, later, earlier))
+            self.found(self.overlaps[task][-1])
+        for end in self.ends[task]:
+            if end["noted"]:
+                self.found(self.measure("after done", task, later, end["order"]))
+            elif not end["void"]:
+                self.pending.append((end, self.measure("after done", task, later, end["order"])))
+        running[worker] = later
+
+    def found(self, breach):
+        self.breaches.append(breach)
+        self.run.note(f"BREACH {breach['kind']}: {breach['task']} run {breach['later']['run']}")
+
+    def measure(self, kind, task, later, earlier):
+        worker = self.run.workers[earlier["worker"]]
+        polls = [at for token, at in worker.polled.items() if token > earlier["term"]]
+        nexts = [at for term, (_, at) in self.run.terms.items() if term > earlier["term"]]
+        sender = self.run.entries.get(later["sender"])
+        since = {"between the orders": earlier["at"],
+                 "last renewal by the later sender": worker.renewed.get(later["sender"]),
+                 "first poll by a successor": min(polls, default=None),
+                 "last list to the later sender": worker.listed.get(later["sender"]),
+                 "next term began": min(nexts, default=None),
+                 "store last answered the later sender": sender.answered_at if sender else None}
+        return {"kind": kind, "task": task, "later": later, "earlier": earlier, "overlap": None,
+                **{name: later["at"] - at for name, at in since.items() if at is not None}}
+
+    def end(self, task, worker, how):
+        order = self.running.get(task, {}).pop(worker, None)
+        for breach in [b for b in self.overlaps[task] if worker in (b["later"]["worker"], b["earlier"]["worker"])]:
+            self.overlaps[task].remove(breach)
+            breach["overlap"] = time.monotonic() - breach["later"]["at"]
+        if order and how == "done":
+            self.ends[task].append({"order": order, "noted": False, "void": False})
+
+    def noted(self, task, worker, run):
+        for end in self.ends[task]:
+            if (end["order"]["worker"], end["order"]["run"]) == (worker, run) and not end["void"]:
+                end["noted"] = True
+
+    def lapsed(self, worker):
+        """Ends that nobody took note of before the worker's lease ended do not count."""
+        for end in [e for ends in self.ends.values() for e in ends]:
+            if end["order"]["worker"] == worker and not end["noted"]:
+                end["void"] = True
+
+    def conclude(self):
+        """Starts after an end that was taken note of later."""
+        for end, breach in self.pending:
+            if end["noted"]:
+                self.found(breach)
+
+
+def describe(order, began):
+    inside = "own" if order["sender"].startswith(f"entry-{order['domain']}-") else "other"
+    return (f"run {order['run']} on {order['worker']} ({inside} domain of {order['sender']}, term {order['term']}, "
+            f"at {order['at'] - began:.3f})")
+
+
+def group_of(breach):
+    later, earlier = breach["later"], breach["earlier"]
+    if later["sender"] != earlier["sender"]:
+        return "two senders"
+    return "one sender, one term" if later["term"] == earlier["term"] else "one sender, two terms"
+
+
+def is_as_recorded(breach):
+    """The later run is in the domain of its sender and the earlier one outside, as in issue 42."""
+    home = breach["later"]["sender"].rsplit("-", 1)[0].removeprefix("entry-")
+    inside = breach["later"]["domain"] == home != breach["earlier"]["domain"]
+    return inside and group_of(breach).startswith("one sender")
+
+
+def spread(text, breaches):
+    if not breaches:
+        return
+    print(f"  {text}: {len(breaches)}")
+    for name in MEASURES:
+        values = [b[name] for b in breaches if b.get(name) is not None and math.isfinite(b[name])]
+        if values:
+            print(f"    {name} (s, min/median/max of {len(values)}): "
+                  f"{min(values):.2f} {statistics.median(values):.2f} {max(values):.2f}")
+
+
+def report(run):
+    breaches = run.account.breaches
+    print(f"seed {run.args.seed}: {'FAILED' if breaches else 'ok'}, {run.account.starts} starts, "
+          f"{len(run.terms)} terms, {run.faults} faults, {len(run.accepted)} of {run.jobs} jobs accepted, "
+          f"{len(breaches)} breaches")
+    for b in breaches[:run.args.show]:
+        figures = ", ".join(f"{name} {b[name]:.2f}" for name in MEASURES if b.get(name) is not None)
+        print(f"  TWICE {b['kind']}: {b['task']}: {describe(b['later'], run.began)}; "
+              f"earlier {describe(b['earlier'], run.began)}; {group_of(b)}; {figures}")
+    for group in ("one sender, one term", "one sender, two terms", "two senders"):
+        spread(group, [b for b in breaches if group_of(b) == group])
+    spread("one sender, later run in its domain and earlier run outside", [b for b in breaches if is_as_recorded(b)])
+    if breaches:
+        print(f"  logs: {run.folder}")
--- /dev/null
+++ b/scripts/lib/terms.py
@@ -0,0 +1,321 @@
+"""Randomized changes of the coordinator, checked against TWICE: no task runs twice at once.
+
+Real entry instances and stand-in workers in three failure domains; the store is in the first one. Jobs that
+last and finite ones are submitted, cancelled and read through any entry while domains, store paths and workers
+fail, overlapping and in series. Workers and the store tell the domain of a request's sender by its fencing
+token, by the leader keys that the store has seen. The workers' view decides what ran, not the entries' logs.
+
+Not covered: traffic between entries is never cut, and no clock jumps.
+
+Usage: terms.py [--seed N] [--seeds N] [--seconds S] [--binary PATH] [--max-hold-ms MS] [--quiet-faults KIND,..]
+The exit code is 1 with breaches, whose logs are kept, 2 if nothing ran, and 0 otherwise.
+"""
+
+import argparse
+import asyncio
+import base64
+import collections
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import soak
+from domains import DOMAINS, STORE_DOMAIN, DomainWorker, Entry, TermStore
+from platform_standin import make_random, serve
+from runs import Runs, report
+
+ENTRIES, WORKERS = 2, 4  # in each domain
+HEARTBEAT = 1.1
+LAPSE = 3 * HEARTBEAT
+SETTLE_SECONDS = 9
+LONG_JOBS = 8
+
+
+class Run:
+    """Store, workers, entries, callers and faults of one seed."""
+
+    def __init__(self, args, folder):
+        self.args, self.folder, self.rng = args, folder, make_random(args.seed)
+        self.terms, self.lost, self.long_jobs = {}, collections.Counter(), set()
+        self.faults, self.jobs, self.accepted, self.fault_tasks = 0, 0, [], []
+        self.began, self.events = time.monotonic(), open(f"{folder}/events.log", "w", encoding="ascii")
+        self.account, self.store = Runs(self), TermStore(self.rng, self)
+        self.workers, self.entries = {}, {}
+
+    def note(self, text):
+        print(f"{time.monotonic() - self.began:8.3f} {text}", file=self.events, flush=True)
+
+    def passes(self, source, target, what):
+        return self.lost[source, target, what] == 0
+
+    def sender(self, data):
+        return self.entries.get(self.terms.get(data.get("fencing_token", 0), (None,))[0])
+
+    def coordinator(self):
+        item = self.store.items.get("crocuslead/office/holder")
+        name = json.loads(base64.b64decode(item["value"]))["instance"] if item else None
+        return self.entries.get(name) or self.rng.choice(list(self.entries.values()))
+
+    async def setup(self):
+        config = {"version": 1, "routes": [{"name": "q", "host": "h", "prefix": "/q/", "kind": "unsafe",
+                                            "timeout_ms": 3000, "target_duration_ms": 600, "priority": 0,
+                                            "service": "desk", "max_attempts": 6, "stretch": 1.5}],
+                  "services": [{"name": "desk"}], "limits": {}}
+        self.store.put("op/config", json.dumps(config).encode())
+        loop = asyncio.get_running_loop()
+        loop.create_task(self.store.expire())
+        for domain in DOMAINS:
+            for i in range(WORKERS):
+                worker = DomainWorker(f"w-{domain}-{i}", self, self.rng, domain)
+                self.workers[worker.name] = worker
+                _, port = await serve(worker.handle)
+                loop.create_task(worker.work())
+                loop.create_task(self.heartbeats(worker, port))
+            for i in range(ENTRIES):
+                entry = Entry(f"entry-{domain}-{i}", domain, self.folder, self)
+                self.entries[entry.name] = entry
+                entry.write((await serve(entry.store_call))[1], self.args.max_hold_ms)
+        for entry in self.entries.values():
+            entry.start()
+
+    async def heartbeats(self, worker, port):
+        """Registers a worker; its entry lapses after three missed intervals."""
+        key, last = f"servers/{worker.name}", 0.0
+        while True:
+            if self.store.mode is None and self.passes(worker.zone, STORE_DOMAIN, "store"):
+                self.store.put(key, worker.entry(port))
+                last = time.monotonic()
+                await self.store.notify()
+            elif time.monotonic() - last > LAPSE and key in self.store.items and not self.store.keeps_leases:
+                self.store.remove(key)
+                await self.store.notify()
+            await asyncio.sleep(HEARTBEAT)
+
+    def pick(self):
+        return self.rng.choice([e for e in self.entries.values() if e.alive()] or list(self.entries.values()))
+
+    async def client(self, lasting):
+        while time.monotonic() < self.end:
+            await asyncio.sleep(self.rng.uniform(0.2, 0.9))
+            if lasting and len(self.long_jobs) >= LONG_JOBS:
+                continue
+            self.jobs += 1
+            job = f"{'a' if lasting else 'f'}{self.args.seed & 0xFFFFFFF:07x}{self.jobs:08x}"
+            step = {"count": self.rng.randint(3, 8), "cpu": 500, "memory_limit_mb": 100, "estimated_ms": 900}
+            if lasting:
+                step.update(long_running=True, anti_affinity=self.rng.randint(1, 2))
+                self.long_jobs.add(job)
+                asyncio.get_running_loop().create_task(self.cancel(job, self.rng.uniform(8, 40)))
+            for _ in range(4):
+                status, _ = await soak.call(self.pick().ip, "POST", f"/q/{job}", {"task_spec": "t", "steps": [step]})
+                if status == 200:
+                    self.accepted.append(job)
+                    break
+                await asyncio.sleep(0.3)
+
+    async def cancel(self, job, after):
+        await asyncio.sleep(after)
+        for _ in range(5):
+            if (await soak.call(self.pick().ip, "DELETE", f"/q/{job}"))[0] in (200, 410):
+                break
+            await asyncio.sleep(0.5)
+        self.long_jobs.discard(job)
+
+    async def reader(self):
+        while time.monotonic() < self.end:
+            await asyncio.sleep(0.15)
+            if self.accepted:
+                await soak.call(self.pick().ip, "GET", f"/q/{self.rng.choice(self.accepted[-40:])}")
+
+    async def inject(self):
+        """Injects faults one after the other and, at times, several within a second."""
+        kinds = {"domain": self.domain, "coordinator-domain": self.coordinator_domain, "one-way": self.one_way,
+                 "coordinator-store": self.coordinator_store, "watches-only": self.watches_only,
+                 "store-down": self.store_down, "store-loses-answers": self.store_loses_answers,
+                 "leader-key": self.leader_key, "compact": self.compact, "worker-answers": self.worker_answers,
+                 "late-orders": self.late_orders, "rebirth": self.rebirth, "pause": self.pause, "kill": self.kill,
+                 "terminate": self.terminate}
+        kinds = [kinds[name] for name in kinds if name not in self.args.quiet_faults.split(",")]
+        while time.monotonic() < self.end:
+            await asyncio.sleep(self.rng.uniform(0.3, 3.5))
+            kind = self.rng.choice(kinds)
+            for _ in range(self.rng.randint(2, 4) if self.rng.random() < 0.2 else 1):
+                self.faults += 1
+                self.fault_tasks.append(asyncio.get_running_loop().create_task(kind()))
+                await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+
+    async def cut(self, text, pairs, seconds):
+        self.note(f"{text} for {seconds:.1f} s")
+        self.lost.update(pairs)
+        await asyncio.sleep(seconds)
+        self.lost.subtract(pairs)
+        self.note(f"{text} is over")
+
+    async def domain(self, domain=None):
+        domain = domain or self.rng.choice(DOMAINS)
+        pairs = [(s, t, what) for s in DOMAINS for t in DOMAINS for what in ("store", "worker")
+                 if s != t and domain in (s, t)]
+        await self.cut(f"domain {domain} cut off", pairs, self.rng.uniform(0.8, 14))
+
+    async def coordinator_domain(self):
+        domain = self.coordinator().domain
+        if self.rng.random() < 0.3:
+            await self.leader_key()
+        await self.domain(domain)
+
+    async def one_way(self):
+        domain, outward = self.rng.choice((self.coordinator().domain, *DOMAINS)), self.rng.random() < 0.5
+        pairs = [(domain, d, "worker") if outward else (d, domain, "worker") for d in DOMAINS if d != domain]
+        await self.cut(f"{domain} to workers one way, {'out' if outward else 'in'}", pairs, self.rng.uniform(0.8, 9))
+
+    async def coordinator_store(self, watches=None):
+        entry = self.coordinator()
+        seconds = self.rng.uniform(0.8, 14)
+        if self.rng.random() < 0.3:
+            await self.leader_key()
+        self.note(f"store path of {entry.name} cut for {seconds:.1f} s, except watches {watches}")
+        entry.cuts, entry.watches = entry.cuts + 1, watches
+        await asyncio.sleep(seconds)
+        entry.cuts, entry.watches = entry.cuts - 1, None
+        self.note(f"store path of {entry.name} is back")
+
+    async def watches_only(self):
+        prefix = self.rng.choice(["", "crocuslead/jobs/", "servers/"])
+        await self.coordinator_store((prefix, self.rng.random() < 0.5))
+
+    async def store_down(self):
+        mode, keeps, seconds = self.rng.choice(["busy", "silent"]), self.rng.random() < 0.5, self.rng.uniform(0.8, 8)
+        self.note(f"store {mode} for {seconds:.1f} s, leases {'pause' if keeps else 'lapse'}")
+        self.store.mode, self.store.keeps_leases = mode, keeps
+        await asyncio.sleep(seconds)
+        self.store.mode, self.store.keeps_leases = None, False
+
+    async def store_loses_answers(self):
+        self.note("store loses answers")
+        self.store.lose_answers, self.store.late_writes = 0.3, self.rng.choice([0.0, 0.15])
+        for entry in self.entries.values():
+            entry.lose = self.rng.choice([0.0, 0.2])
+        await asyncio.sleep(self.rng.uniform(0.8, 5))
+        self.store.lose_answers, self.store.late_writes = 0.0, 0.0
+        for entry in self.entries.values():
+            entry.lose = 0.0
+
+    async def leader_key(self):
+        item = self.store.items.get("crocuslead/office/holder")
+        self.note("leader key taken away")
+        if item:
+            await self.store.end_lease(item["lease"])
+
+    async def compact(self):
+        self.note("history compacted")
+        self.store.compact()
+
+    async def worker_answers(self):
+        chosen = self.rng.sample(list(self.workers.values()), len(self.workers) // 2)
+        self.note(f"answers lost of {' '.join(w.name for w in chosen)}")
+        for worker in chosen:
+            worker.loses_answers = True
+        await asyncio.sleep(self.rng.uniform(0.8, 8))
+        for worker in chosen:
+            worker.loses_answers = False
+
+    async def late_orders(self):
+        chosen = self.rng.sample(list(self.workers.values()), 4)
+        self.note(f"late orders at {' '.join(w.name for w in chosen)}")
+        for worker in chosen:
+            worker.late_orders = 0.4
+        await asyncio.sleep(self.rng.uniform(1, 5))
+        for worker in chosen:
+            worker.late_orders = 0.0
+
+    async def rebirth(self):
+        worker = self.rng.choice(list(self.workers.values()))
+        self.note(f"{worker.name} is born again")
+        worker.life()
+
+    async def pause(self):
+        entry, seconds = self.coordinator(), self.rng.uniform(1, 6)
+        self.note(f"{entry.name} paused for {seconds:.1f} s")
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        entry.signal(signal.SIGCONT)
+
+    async def kill(self):
+        entry = self.coordinator()
+        self.note(f"{entry.name} killed")
+        entry.signal(signal.SIGKILL)
+        await self.restart(entry)
+
+    async def terminate(self):
+        entry = self.coordinator()
+        self.note(f"{entry.name} terminated")
+        entry.signal(signal.SIGTERM)
+        await self.restart(entry)
+
+    async def restart(self, entry):
+        while entry.alive():
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(self.rng.choice([0.0, 0.5]))
+        if not entry.alive():
+            entry.start()
+
+    async def play(self):
+        await self.setup()
+        await asyncio.sleep(3)
+        self.end = time.monotonic() + self.args.seconds
+        await asyncio.gather(self.client(True), self.client(False), self.reader(), self.inject())
+        await asyncio.gather(*self.fault_tasks)
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.account.conclude()
+
+    def stop(self):
+        for entry in self.entries.values():
+            if entry.alive():
+                entry.process.kill()
+                entry.process.wait()
+
+
+async def run_one(args, folder):
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    run = Run(args, folder)
+    try:
+        await run.play()
+    finally:
+        run.stop()
+    report(run)
+    return 1 if run.account.breaches else 0 if run.account.starts and run.terms else 2
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=45)
+    parser.add_argument("--binary", default=soak.BINARY)
+    parser.add_argument("--max-hold-ms", type=int, default=6000)
+    parser.add_argument("--quiet-faults", default="", help="kinds to leave out, joined by commas")
+    parser.add_argument("--show", type=int, default=10, help="breaches to print")
+    args = parser.parse_args()
+    if args.seeds > 1:
+        # One process for each seed, so that nothing is carried over.
+        words = [sys.executable, __file__, *sys.argv[1:], "--seeds", "1", "--seed"]
+        codes = [subprocess.run([*words, str(args.seed + i)], check=False).returncode for i in range(args.seeds)]
+        print(f"{codes.count(0)} passed, {len(codes) - codes.count(0)} failed")
+        sys.exit(max(codes))
+    soak.BINARY = args.binary
+    folder = tempfile.mkdtemp(prefix=f"terms-{args.seed}-")
+    code = asyncio.run(run_one(args, folder)) if os.access(args.binary, os.X_OK) else 2
+    if code == 0:
+        shutil.rmtree(folder)
+    sys.stdout.flush()
+    # Open connections of the stand-ins end with the process.
+    os._exit(code)
+
+
+if __name__ == "__main__":
+    main()
