Draw faults that end a term more often in scripts/terms

Breaches also give the times since the last start request of the earlier run and the last request of the later sender.

--- a/scripts/lib/domains.py
+++ b/scripts/lib/domains.py
@@ -111,7 +111,7 @@
     def life(self):
         super().life()
         self.run.account.lapsed(self.name)
-        self.renewed, self.polled, self.listed = {}, {}, {}
+        self.renewed, self.polled, self.listed, self.asked, self.heard = {}, {}, {}, {}, {}
 
     def lapse(self):
         if self.clock() >= self.lease_end:
@@ -126,6 +126,11 @@
     def fails(self, task):
         return task[0] == "a" or super().fails(task)
 
+    def run_start(self, data):
+        if data.get("fencing_token", 0) >= self.token:
+            self.asked[data["task"], data["run"]] = time.monotonic()
+        return super().run_start(data)
+
     async def hold(self, data):
         sender, now = self.run.sender(data), time.monotonic()
         if data.get("fencing_token", 0) >= self.token:
@@ -142,6 +147,8 @@
             if call != "hold" and self.rng.random() < HELD_UP_SHARE:
                 asyncio.get_running_loop().create_task(self.late(call, data, born))
             await hang()
+        if sender:
+            self.heard[sender.name] = time.monotonic()
         answer = await super().handle(method, path, query, headers, body)
         lost = sender and not self.run.passes(self.zone, sender.domain, "worker")
         if lost or self.loses_answers or born != self.born:
--- a/scripts/lib/runs.py
+++ b/scripts/lib/runs.py
@@ -11,6 +11,7 @@
 from platform_standin import Account
 
 MEASURES = ("between the orders", "last renewal by the later sender", "first poll by a successor",
+            "last start request of the earlier run", "last request of the later sender",
             "last list to the later sender", "next term began", "store last answered the later sender", "overlap")
 
 
@@ -54,6 +55,8 @@
         since = {"between the orders": earlier["at"],
                  "last renewal by the later sender": worker.renewed.get(later["sender"]),
                  "first poll by a successor": min(polls, default=None),
+                 "last start request of the earlier run": worker.asked.get((task, earlier["run"])),
+                 "last request of the later sender": worker.heard.get(later["sender"]),
                  "last list to the later sender": worker.listed.get(later["sender"]),
                  "next term began": min(nexts, default=None),
                  "store last answered the later sender": sender.answered_at if sender else None}
--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -34,6 +34,8 @@
 LAPSE = 3 * HEARTBEAT
 SETTLE_SECONDS = 9
 LONG_JOBS = 8
+# What ends a term while its coordinator goes on is drawn more often than the other kinds.
+SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2}
 
 
 class Run:
@@ -42,6 +44,7 @@
     def __init__(self, args, folder):
         self.args, self.folder, self.rng = args, folder, make_random(args.seed)
         self.terms, self.lost, self.long_jobs = {}, collections.Counter(), set()
+        self.quiet = set(args.quiet_faults.split(","))
         self.faults, self.jobs, self.accepted, self.fault_tasks = 0, 0, [], []
         self.began, self.events = time.monotonic(), open(f"{folder}/events.log", "w", encoding="ascii")
         self.account, self.store = Runs(self), TermStore(self.rng, self)
@@ -140,9 +143,9 @@
                  "leader-key": self.leader_key, "compact": self.compact, "worker-answers": self.worker_answers,
                  "late-orders": self.late_orders, "rebirth": self.rebirth, "pause": self.pause, "kill": self.kill,
                  "terminate": self.terminate}
-        kinds = [kinds[name] for name in kinds if name not in self.args.quiet_faults.split(",")]
+        kinds = [kinds[name] for name in kinds if name not in self.quiet for _ in range(SHARES.get(name, 1))]
         while time.monotonic() < self.end:
-            await asyncio.sleep(self.rng.uniform(0.3, 3.5))
+            await asyncio.sleep(self.rng.uniform(0.3, 2.8))
             kind = self.rng.choice(kinds)
             for _ in range(self.rng.randint(2, 4) if self.rng.random() < 0.2 else 1):
                 self.faults += 1
@@ -164,8 +167,7 @@
 
     async def coordinator_domain(self):
         domain = self.coordinator().domain
-        if self.rng.random() < 0.3:
-            await self.leader_key()
+        await self.perhaps_leader_key()
         await self.domain(domain)
 
     async def one_way(self):
@@ -176,8 +178,7 @@
     async def coordinator_store(self, watches=None):
         entry = self.coordinator()
         seconds = self.rng.uniform(0.8, 14)
-        if self.rng.random() < 0.3:
-            await self.leader_key()
+        await self.perhaps_leader_key()
         self.note(f"store path of {entry.name} cut for {seconds:.1f} s, except watches {watches}")
         entry.cuts, entry.watches = entry.cuts + 1, watches
         await asyncio.sleep(seconds)
@@ -211,6 +212,11 @@
         if item:
             await self.store.end_lease(item["lease"])
 
+    async def perhaps_leader_key(self):
+        """At times a cut begins with the end of the leader key, so that the next term begins at once."""
+        if "leader-key" not in self.quiet and self.rng.random() < 0.3:
+            await self.leader_key()
+
     async def compact(self):
         self.note("history compacted")
         self.store.compact()
