--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -34,6 +34,7 @@
 LAPSE = 3 * HEARTBEAT
 SETTLE_SECONDS = 9
 LONG_JOBS = 8
+GRACE_SECONDS = 6
 # What ends a term while its coordinator goes on is drawn more often than the other kinds.
 SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2}
 
@@ -264,10 +265,14 @@
         await self.restart(entry)
 
     async def restart(self, entry):
-        while entry.alive():
+        # Several faults may end one process; only the first of them starts the next one.
+        process, limit = entry.process, time.monotonic() + GRACE_SECONDS
+        while process.poll() is None:
             await asyncio.sleep(0.05)
+            if time.monotonic() > limit:
+                process.kill()
         await asyncio.sleep(self.rng.choice([0.0, 0.5]))
-        if not entry.alive():
+        if entry.process is process:
             entry.start()
 
     async def play(self):
