End scripts/terms with its verdict, and bound its time

Cause: the event loop waits at its end until the handlers of open connections are cancelled. Which of them did not end was not traced. Change: the process ends after the verdict, as that of scripts/soak does, and a play that does not end in time fails with its logs.

--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -23,6 +23,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 import soak
 from domains import DOMAINS, STORE_DOMAIN, DomainWorker, Entry, TermStore
@@ -34,6 +35,7 @@
 LAPSE = 3 * HEARTBEAT
 SETTLE_SECONDS = 9
 LONG_JOBS = 8
+LONGEST_REST = 60  # for the start, the last faults and the settling
 GRACE_SECONDS = 6
 # What ends a term while its coordinator goes on is drawn more often than the other kinds.
 SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2}
@@ -292,14 +294,26 @@
 
 
 async def run_one(args, folder):
+    """Ends the process with the verdict."""
     asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-    run = Run(args, folder)
+    run, code = Run(args, folder), 2
     try:
-        await run.play()
+        play = asyncio.create_task(run.play())
+        if (await asyncio.wait({play}, timeout=args.seconds + LONGEST_REST))[0]:
+            play.result()
+            report(run)
+            code = 1 if run.account.breaches else 0 if run.account.starts and run.terms else 2
+        else:
+            print(f"seed {args.seed}: did not end within {LONGEST_REST} s after its {args.seconds:g} s; logs: {folder}")
+    except Exception:
+        traceback.print_exc()
     finally:
         run.stop()
-    report(run)
-    return 1 if run.account.breaches else 0 if run.account.starts and run.terms else 2
+        if code == 0:
+            shutil.rmtree(folder)
+        sys.stdout.flush()
+        # Waiting until the handlers of open connections are cancelled may never end.
+        os._exit(code)
 
 
 def main():
@@ -319,13 +333,10 @@
         print(f"{codes.count(0)} passed, {len(codes) - codes.count(0)} failed")
         sys.exit(max(codes))
     soak.BINARY = args.binary
+    if not os.access(args.binary, os.X_OK):
+        sys.exit(f"{args.binary} is not a program; build it or name one with --binary")
     folder = tempfile.mkdtemp(prefix=f"terms-{args.seed}-")
-    code = asyncio.run(run_one(args, folder)) if os.access(args.binary, os.X_OK) else 2
-    if code == 0:
-        shutil.rmtree(folder)
-    sys.stdout.flush()
-    # Open connections of the stand-ins end with the process.
-    os._exit(code)
+    asyncio.run(run_one(args, folder))
 
 
 if __name__ == "__main__":
