--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -48,6 +48,8 @@
 
   // Workers.cpp
   void setWorkers(const std::map<std::string, WorkerInfo> &Workers);
+
+  // Recovery.cpp
   void restoreUsedWorkers(const std::string &Record);
   void recover();
   void prepareHandover();
@@ -166,6 +168,8 @@
   void endIncarnation(WorkerEntry &Worker, WorkerLoss Loss, const char *Reason);
   void replaceIncarnation(WorkerEntry &Worker, const WorkerInfo &NewInfo);
   int64_t grantLease(WorkerEntry &Worker);
+  //! Longest time that a duration on a worker's clock takes.
+  static base::Duration boundOnWorkerClock(base::Duration Time);
   //! By when every lease on the worker has ended, unless another coordinator
   //! renews it.
   base::TimePoint leaseEnd(const WorkerEntry &Worker) const;
@@ -178,13 +182,15 @@
   void drainWorker(WorkerEntry &Worker);
   void startProbation(WorkerEntry &Worker, const char *Event);
   bool isReachable(const WorkerEntry &Worker) const;
-  void endRecovery(const char *Reason);
-  void logRecoveryWait() const;
-  void updateRecovery();
   WorkerAddress addressOf(const WorkerEntry &Worker) const {
     return {Worker.Info_.Id_, Worker.Info_.Address_};
   }
 
+  // Recovery.cpp: what a term learns of the terms before it.
+  void endRecovery(const char *Reason);
+  void logRecoveryWait() const;
+  void updateRecovery();
+
   // Terms.cpp: whether this term is still the latest.
   static internal::LeaseBounds leaseBounds(const CoordinatorTimings &Times);
   void confirmTermByWorkers();
