Tell what a waiting step needs and what a recovery holds back

step-waiting now has label, rack, max_per_worker, gang, unsatisfiable and counts of workers that drain, are not recorded, are held back, on probation, reserved for other steps or at the step's limit; recovery-started counts lease holders, unlisted and draining workers; recovery-waiting counts the jobs that are held back.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -189,6 +189,8 @@
   // Recovery.cpp: what a term learns of the terms before it.
   void endRecovery(const char *Reason);
   void logRecoveryWait() const;
+  //! Jobs whose tasks wait for the end of the recovery.
+  int64_t countHeldBackJobs() const;
   void updateRecovery();
 
   // Terms.cpp: whether this term is still the latest.
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -29,10 +29,22 @@
   }
   MaxRecordedHolders_ = RecordedHolders_.size();
   PredecessorLeases_.begin(now(), std::exchange(RecordedHolders_, {}));
-  base::logEvent(base::LogLevel::Info, "recovery-started",
-                 {{"term", Settings_.Term_},
-                  {"jobs", static_cast<int64_t>(Jobs_.size())},
-                  {"workers", static_cast<int64_t>(Workers_.size())}});
+  auto CountWorkers = [this](auto Condition) {
+    return static_cast<int64_t>(
+        std::count_if(WorkerOrder_.begin(), WorkerOrder_.end(), Condition));
+  };
+  base::logEvent(
+      base::LogLevel::Info, "recovery-started",
+      {{"term", Settings_.Term_},
+       {"jobs", static_cast<int64_t>(Jobs_.size())},
+       {"workers", static_cast<int64_t>(Workers_.size())},
+       {"lease_holders", static_cast<int64_t>(MaxRecordedHolders_)},
+       {"unlisted_workers", CountWorkers([](const WorkerEntry *Worker) {
+          return !Worker->Registered_;
+        })},
+       {"draining_workers", CountWorkers([](const WorkerEntry *Worker) {
+          return Worker->Info_.Draining_;
+        })}});
   pollDueWorkers();
 }
 
@@ -104,6 +116,12 @@
     }
 }
 
+int64_t Coordinator::Impl::countHeldBackJobs() const {
+  return std::count_if(Jobs_.begin(), Jobs_.end(), [](const auto &Entry) {
+    return Entry.second->Restored_ && !isFinal(Entry.second->State_);
+  });
+}
+
 void Coordinator::Impl::logRecoveryWait() const {
   int64_t Listed = 0;
   int64_t Unlisted = 0;
@@ -123,7 +141,9 @@
                   {"listed_workers", Listed},
                   {"unlisted_workers", Unlisted},
                   {"predecessors_fenced", PredecessorLeases_.fenced()},
+                  {"held_back_jobs", countHeldBackJobs()},
                   {"worker", Last->Info_.Id_},
+                  {"draining", Last->Info_.Draining_},
                   {"lease_left_ms", base::toMillis(leaseEnd(*Last) - now())}});
 }
 
--- a/src/jobs/internal/Waits.cpp
+++ b/src/jobs/internal/Waits.cpp
@@ -140,6 +140,13 @@
   const StepSpec &Spec = *Step.Spec_;
   const QueueConfig *Queue = queueConfig(*Step.Job_);
   int64_t ReservedMilliCpu = Spec.BestEffort_ ? 0 : Spec.Request_.MilliCpu_;
+  int64_t WithLabel = 0;
+  int64_t Draining = 0;
+  int64_t Unrecorded = 0;
+  int64_t ResultsHeldBack = 0;
+  int64_t OnProbation = 0;
+  int64_t HeldForOthers = 0;
+  int64_t AtStepLimit = 0;
   int64_t Suitable = 0;
   int64_t WithoutCpu = 0;
   int64_t WithoutMemory = 0;
@@ -147,9 +154,18 @@
   int64_t Reserved = 0;
   for (const WorkerEntry *Worker : WorkerOrder_) {
     if (Queue == nullptr || Worker->Info_.Service_ != Queue->Service_ ||
-        !acceptsStarts(*Worker) || !hasRequiredLabel(Spec, *Worker))
+        !hasRequiredLabel(Spec, *Worker))
+      continue;
+    ++WithLabel;
+    Draining += Worker->Info_.Draining_ ? 1 : 0;
+    Unrecorded += Worker->Polled_ && !Worker->RecordDurable_ ? 1 : 0;
+    ResultsHeldBack += Worker->HeldBackSequence_ != 0 ? 1 : 0;
+    if (!acceptsStarts(*Worker))
       continue;
     ++Suitable;
+    OnProbation += now() < Worker->ProbationUntil_ ? 1 : 0;
+    HeldForOthers += isHeldForOther(Step, *Worker) ? 1 : 0;
+    AtStepLimit += isAtStepLimit(Step, *Worker) ? 1 : 0;
     if (Worker->Reservation_ && Worker->Reservation_->Step_ == &Step)
       ++Reserved;
     base::Resources Free = Worker->Info_.Capacity_ - Worker->Reserved_;
@@ -171,9 +187,21 @@
        {"task_mcpu", Spec.Request_.MilliCpu_},
        {"task_memory_mb", Spec.Request_.MemoryMb_},
        {"late_ms", base::toMillis(now() - readyKey(Step).CompletionTarget_)},
+       {"label", Spec.RequiredLabel_},
+       {"rack", Spec.DataRack_},
+       {"max_per_worker", static_cast<int64_t>(Spec.MaxPerWorker_)},
+       {"gang", Spec.Gang_},
+       {"unsatisfiable", Step.Unsatisfiable_},
        {"starts_meanwhile", ReservedStarts_ - Step.StartsBeforeRelease_},
        {"reserved_workers", Reserved},
+       {"labelled_workers", WithLabel},
+       {"draining_workers", Draining},
+       {"unrecorded_workers", Unrecorded},
+       {"held_back_workers", ResultsHeldBack},
        {"suitable_workers", Suitable},
+       {"on_probation", OnProbation},
+       {"held_for_others", HeldForOthers},
+       {"at_step_limit", AtStepLimit},
        {"without_cpu", WithoutCpu},
        {"without_memory", WithoutMemory},
        {"largest_free_mcpu", LargestFreeMilliCpu}});
