--- /dev/null
+++ b/tests/jobs/Recovery.tests.cpp
@@ -0,0 +1,137 @@
+#include "jobs/TestCluster.h"
+
+#include <memory>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Several round trips and two commits.
+constexpr auto PromptRecovery = milliseconds(500);
+// An election and a recovery in which every worker answers.
+constexpr auto PromptTakeover = milliseconds(1500);
+// The longest wait of one takeover, and a takeover.
+constexpr auto OneWait = milliseconds(6'200) + PromptTakeover;
+constexpr auto StopTimeout = CoordinatorTimings().StopTimeout_;
+constexpr int64_t WholeWorker = 16'000;
+
+JobSpec longRunning(JobSpec Spec) {
+  for (StepSpec &Step : Spec.Steps_)
+    Step.LongRunning_ = true;
+  return Spec;
+}
+
+//! Workers, a store, and instances that are stopped as planned one after the
+//! other.
+struct RollingCluster : TestCluster {
+  RollingCluster() {
+    for (const char *Id : {"w1", "w2", "w3"})
+      World_.addWorker(Id);
+    next();
+  }
+  ~RollingCluster() {
+    for (const std::string &Violation : World_.Oracle_.Violations_)
+      FAIL_CHECK(Violation);
+  }
+  //! Stops the instance that is the coordinator as planned, if there is one,
+  //! and starts another one.
+  void next() {
+    std::string Name = "i" + std::to_string(Instances_.size());
+    if (!Instances_.empty())
+      Instances_.back()->resign();
+    Instances_.push_back(std::make_unique<TestInstance>(World_, Store_, Name));
+  }
+  void runFor(base::Duration Time) { run(*Instances_.back(), Time); }
+  //! Runs until Condition holds; false if it does not within Time.
+  template <typename Check> bool within(base::Duration Time, Check Condition) {
+    for (base::TimePoint End = World_.now() + Time; World_.now() < End;) {
+      if (Condition())
+        return true;
+      runFor(milliseconds(10));
+    }
+    return Condition();
+  }
+  std::string workerOf(const std::string &Task) {
+    const std::set<std::string> &On = World_.Oracle_.RunningOn_[Task];
+    return On.empty() ? "" : *On.begin();
+  }
+  int startsOfJob(const std::string &Job) const {
+    int Out = 0;
+    for (const auto &[Task, Count] : World_.Oracle_.Starts_)
+      Out += Task.rfind(Job + ".", 0) == 0 ? Count : 0;
+    return Out;
+  }
+  bool runsElsewhere(const std::string &Task, const std::string &Worker) {
+    std::string Now = workerOf(Task);
+    return !Now.empty() && Now != Worker;
+  }
+  //! The worker has left: it runs nothing, answers nothing and is not listed.
+  void leave(const std::string &Id) {
+    World_.crashWorker(Id);
+    World_.worker(Id).Info_.Id_.clear();
+    Instances_.back()->Fleet_.update();
+  }
+  void drain(const std::string &Id, base::Duration TimeLeft) {
+    World_.worker(Id).Info_.Draining_ = true;
+    World_.worker(Id).Info_.DrainTimeLeft_ = TimeLeft;
+    Instances_.back()->Fleet_.update();
+  }
+
+  std::vector<std::unique_ptr<TestInstance>> Instances_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RollingCluster, "Long-running tasks on a worker that a new "
+                                  "term finds draining are moved" *
+                                      doctest::should_fail()) {
+  submit("a", longRunning(chainJob(1, 1)));
+  runFor(seconds(2));
+  std::string Draining = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Draining.empty());
+  World_.worker(Draining).Info_.Draining_ = true;
+  World_.worker(Draining).Info_.DrainTimeLeft_ = seconds(5);
+  next();
+  CHECK(within(PromptTakeover + StopTimeout,
+               [&] { return runsElsewhere("a.0.0.0", Draining); }));
+}
+
+TEST_CASE_FIXTURE(RollingCluster,
+                  "A worker that left just before a planned takeover holds "
+                  "back only the jobs that ran there" *
+                      doctest::should_fail()) {
+  submit("a", longRunning(chainJob(1, 1, WholeWorker)));
+  runFor(seconds(2));
+  std::string Left = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Left.empty());
+  submit("b", chainJob(30, 3, 4'000));
+  runFor(seconds(2));
+  leave(Left);
+  next();
+  int Before = startsOfJob("b");
+  CHECK(within(PromptTakeover, [&] { return startsOfJob("b") > Before; }));
+  CHECK(within(OneWait, [&] { return runsElsewhere("a.0.0.0", Left); }));
+}
+
+TEST_CASE_FIXTURE(RollingCluster,
+                  "A wait for a lease is not begun anew by each planned "
+                  "takeover" *
+                      doctest::should_fail()) {
+  submit("a", longRunning(chainJob(1, 1, WholeWorker)));
+  runFor(seconds(3));
+  std::string Left = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Left.empty());
+  leave(Left);
+  base::TimePoint LostAt = World_.now();
+  for (int I = 0; I < 8 && workerOf("a.0.0.0").empty(); ++I) {
+    next();
+    within(seconds(2), [&] { return runsElsewhere("a.0.0.0", Left); });
+  }
+  CHECK(runsElsewhere("a.0.0.0", Left));
+  CHECK(World_.now() - LostAt < OneWait);
+}
+
+} // namespace crocuslead::jobs::test
--- a/tests/jobs/Takeover.tests.cpp
+++ b/tests/jobs/Takeover.tests.cpp
@@ -107,6 +107,48 @@
   CHECK_FALSE(World_.Coordinator_->stats().Recovering_);
 }
 
+TEST_CASE_FIXTURE(ThreeWorkers,
+                  "A worker that was emptied before it left holds "
+                  "back no takeover" *
+                      doctest::should_fail()) {
+  World_.worker("w2").Info_.Draining_ = true;
+  World_.worker("w2").Info_.DrainTimeLeft_ = seconds(5);
+  World_.publishWorkers();
+  World_.run(seconds(4));
+  REQUIRE(World_.worker("w2").Runs_.empty());
+  World_.crashWorker("w2");
+  unlist("w2");
+  CHECK(recoversPromptly());
+}
+
+TEST_CASE("A wait for a lease is not begun anew by each term that ends by a "
+          "crash" *
+          doctest::should_fail()) {
+  JobWorld World;
+  for (const char *Id : {"w0", "w1", "w2"})
+    World.addWorker(Id);
+  World.startSuccessor();
+  JobSpec Spec = chainJob(1, 1);
+  Spec.Steps_[0].LongRunning_ = true;
+  World.submit("a", Spec);
+  World.run(seconds(1));
+  std::string Lost = *World.Oracle_.RunningOn_["a.0.0.0"].begin();
+  World.crashWorker(Lost);
+  base::TimePoint LostAt = World.now();
+  int Terms = 0;
+  while (World.startsOf("a.0.0.0") == 1 && Terms < 10) {
+    World.startSuccessor();
+    ++Terms;
+    World.run(milliseconds(2'500));
+  }
+  CHECK(World.startsOf("a.0.0.0") == 2);
+  // The longest wait of a takeover, and a second for each further term.
+  CHECK(World.now() - LostAt <
+        milliseconds(6'200) + seconds(Terms) + milliseconds(2'500));
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
 // Guards against two runs of a task: a worker without tasks is not polled, so
 // its first lease was computed from an old reading of its clock.
 TEST_CASE("A successor outwaits the first lease of a worker that was idle for "
--- a/tests/jobs/TestCluster.h
+++ b/tests/jobs/TestCluster.h
@@ -19,7 +19,7 @@
 public:
   explicit FixedFleet(JobWorld &World) : World_(World) {}
 
-  void setHooks(Hooks /*OnChange*/) override {}
+  void setHooks(Hooks OnChange) override { Hooks_ = std::move(OnChange); }
   void tick() override {}
   void reload() override {}
   bool configLoaded() const override { return true; }
@@ -27,9 +27,11 @@
   const std::set<std::string> &unavailableDomains() const override {
     return Out_;
   }
-  void watchWorkers(bool /*Enabled*/) override {
-    for (const auto &[Id, Each] : World_.Workers_)
-      Workers_[Id] = Each.Info_;
+  void watchWorkers(bool /*Enabled*/) override { readWorkers(); }
+  //! Reads the registry again; workers without an id are not listed.
+  void update() {
+    readWorkers();
+    Hooks_.WorkersChanged_();
   }
   bool workersLoaded() const override { return true; }
   const std::map<std::string, WorkerInfo> &workers() const override {
@@ -37,7 +39,15 @@
   }
 
 private:
+  void readWorkers() {
+    Workers_.clear();
+    for (const auto &[Id, Each] : World_.Workers_)
+      if (!Each.Info_.Id_.empty())
+        Workers_[Id] = Each.Info_;
+  }
+
   JobWorld &World_;
+  Hooks Hooks_;
   std::set<std::string> Out_;
   std::map<std::string, WorkerInfo> Workers_;
 };
@@ -121,6 +131,11 @@
     Election_.tick();
     Host_.tick();
   }
+  //! Resigns as a process does that is stopped as planned.
+  void resign() {
+    Host_.prepareHandover();
+    Election_.resign([] {});
+  }
 
   FixedFleet Fleet_;
   CoordinatorHost Host_;
