Keep a worker's results from counting after it was unlisted in a recovery

A recovery that still waited for one worker forgot another, unlisted one whose lease had ended, without a record that its results must not count. Its tasks ran again; when it came back in a later term, its results were acknowledged (TWICE).

Such a worker now stays known until that record is durable, like a listed one.

"A result of a worker that was unlisted during a recovery is held back in later terms" failed before: "a.0.0.0 was started again after it was done on w0, and that end was acknowledged".

--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -38,6 +38,10 @@
       !Worker.Polled_;
   if (!Unreachable || !hasLeaseEnded(Worker))
     return;
+  // A recovery first records that the worker's results must not count.
+  if (Recovering_ && !Worker.Polled_ && Worker.MayHoldLease_ &&
+      !Worker.AbandonmentDurable_)
+    return;
   if (!Worker.Runs_.empty() && !abandonRuns(Worker))
     return;
   noteLeaseEnd(Worker);
--- a/tests/jobs/LateReplies.tests.cpp
+++ b/tests/jobs/LateReplies.tests.cpp
@@ -255,4 +255,52 @@
   requireNoViolations(World);
 }
 
+// Guards against a result that counts although its task ran again: the worker
+// was forgotten while the recovery went on waiting for another one.
+TEST_CASE("A result of a worker that was unlisted during a recovery is held "
+          "back in later terms") {
+  JobWorld World;
+  for (const char *Id : {"w0", "w1", "w2", "w3"}) {
+    World.addWorker(Id);
+    World.worker(Id).Info_.Labels_ = {"other"};
+  }
+  FakeWorker &Unlisted = World.worker("w0");
+  Unlisted.Info_.Labels_ = {"unlisted"};
+  World.startSuccessor();
+  World.run(seconds(1));
+  JobSpec Elsewhere = chainJob(1, 3, 4'000);
+  Elsewhere.Steps_[0].LongRunning_ = true;
+  Elsewhere.Steps_[0].MaxPerWorker_ = 1;
+  Elsewhere.Steps_[0].RequiredLabel_ = "other";
+  World.submit("b", Elsewhere);
+  World.run(seconds(1));
+  World.RunDuration_ = seconds(1);
+  JobSpec Spec = chainJob(1, 1);
+  Spec.Steps_[0].RequiredLabel_ = "unlisted";
+  World.submit("a", Spec);
+  World.run(milliseconds(300));
+  REQUIRE(World.startsOf("a.0.0.0") == 1);
+  Unlisted.DropsRequests_ = Unlisted.DropsReplies_ = true;
+  Unlisted.Listed_ = false;
+  World.worker("w1").Info_.Labels_.push_back("unlisted");
+  // It may hold a longer lease than the others.
+  World.restartWorker("w2");
+  World.run(milliseconds(200));
+  World.worker("w2").DropsRequests_ = true;
+  World.startSuccessor();
+  World.run(seconds(25));
+  REQUIRE(World.state("a") == JobState::Completed);
+  REQUIRE(World.startsOf("a.0.0.0") == 2);
+  World.startSuccessor();
+  World.run(seconds(1));
+  Unlisted.DropsRequests_ = Unlisted.DropsReplies_ = false;
+  Unlisted.Listed_ = true;
+  World.publishWorkers();
+  World.run(seconds(3));
+  CHECK(Unlisted.Polls_ > 0);
+  CHECK(Unlisted.Ended_.size() == 1);
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
 } // namespace crocuslead::jobs::test
