Give up a leadership that is won after the resignation

What users see: an instance that is stopped while its election is under way leads until its store lease ends, 2 s after the process: no coordinator meanwhile.

Cause: the reply to the transaction made it the leader although it had resigned, and it resigns only once.

Change: it removes the leader key again, if its term is still the latest. "An instance that resigns while its election is under way ..." failed before.

--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -197,7 +197,10 @@
                  return;
                TxnInFlight_ = false;
                const auto *Reply = std::get_if<store::TxnReply>(&Result);
-               if (Reply != nullptr && Reply->Succeeded_ && Term_ == 0)
+               bool Won = Reply != nullptr && Reply->Succeeded_;
+               if (Won && Resigned_)
+                 releaseLeaderKey(Reply->Revision_, {}, [] {});
+               else if (Won && Term_ == 0)
                  becomeLeader(Term, Reply->Revision_);
                else if (Term_ == 0)
                  Keys_.reload();
@@ -267,13 +270,18 @@
     Done();
     return;
   }
-  const store::KeyValue *Leader = Keys_.find(leaderKey());
   loseLeadership("resigned");
+  releaseLeaderKey(TermRevision_, std::move(Records), std::move(Done));
+}
+
+// Only while the term is the latest, so that no later leader's key is removed.
+void Election::releaseLeaderKey(int64_t TermRevision,
+                                std::vector<store::Put> Records,
+                                std::function<void()> Done) {
   store::Txn Request;
   Request.Compares_ = {
-      {termKey(), store::CompareTarget::ModRevision, TermRevision_}};
-  if (Leader != nullptr)
-    Request.Deletes_ = {{leaderKey(), ""}};
+      {termKey(), store::CompareTarget::ModRevision, TermRevision}};
+  Request.Deletes_ = {{leaderKey(), ""}};
   Request.Puts_ = std::move(Records);
   Store_.txn(
       std::move(Request),
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -78,6 +78,8 @@
   void grantLease();
   void campaign();
   void reclaimLeadership();
+  void releaseLeaderKey(int64_t TermRevision, std::vector<store::Put> Records,
+                        std::function<void()> Done);
   void becomeLeader(uint64_t Term, int64_t Revision);
   void loseLeadership(const char *Reason);
   std::string leaderValue(uint64_t Term) const;
--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -123,6 +123,25 @@
   }
 }
 
+// Guards against a leader that has been stopped already: nobody leads until its
+// store lease has ended.
+TEST_CASE("An instance that resigns while its election is under way gives up "
+          "the leadership that it wins") {
+  TestCluster Cluster;
+  TestInstance First(Cluster.World_, Cluster.Store_, "a");
+  std::string LeaderKey = std::string(JobKeys::ElectionPrefix) + "holder";
+  while (Cluster.Store_.find(LeaderKey) == nullptr) {
+    Cluster.Store_.run();
+    Cluster.World_.run(milliseconds(10));
+    First.tick();
+  }
+  REQUIRE_FALSE(First.Election_.isLeader());
+  First.resign();
+  Cluster.run(First, milliseconds(100));
+  CHECK_FALSE(First.Election_.isLeader());
+  CHECK(Cluster.Store_.find(LeaderKey) == nullptr);
+}
+
 TEST_CASE("Another instance takes over when the leader resigns") {
   TestCluster Cluster;
   TestInstance First(Cluster.World_, Cluster.Store_, "a");
