Judge the tasks on a draining worker until it leaves

What users see: work that is lost with a worker that had said when it leaves, and tasks that start again only when its lease has ended.

Cause: whether a task that saves its progress ends in time was judged once, when the worker began to drain, by an estimate that may be far too short.

"A task that saves its progress and is slower than estimated ..." failed before.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -39,6 +39,7 @@
       NextRunCheckAt_ = now() + RunCheckInterval;
       timed(CheckTime_, [this] {
         checkRuns();
+        drainWorkers();
         startSpeculativeCopies();
         moveThrottledRuns();
         logLongWaits();
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -183,8 +183,8 @@
   base::Duration longestLeaseTime() const;
   void expectLongestLease(WorkerEntry &Worker, base::TimePoint LastRequestAt);
   void recordClock(WorkerEntry &Worker, int64_t WorkerMs);
-  //! Stops what should not end with the worker. Repeated calls stop what was
-  //! left to run before.
+  //! Stops what would end with the worker; what would end before runs on.
+  //! Repeated calls judge that again.
   void drainWorker(WorkerEntry &Worker);
   void drainWorkers();
   void startProbation(WorkerEntry &Worker, const char *Event);
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -315,6 +315,7 @@
   bool TailOverTarget_ = false;
   //! When this coordinator learned that it drains.
   base::TimePoint DrainingSince_;
+  bool DrainLogged_ = false;
   uint64_t Sequence_ = 0;
 };
 
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -98,6 +98,7 @@
     }
     if (StartsDraining) {
       Worker.DrainingSince_ = now();
+      Worker.DrainLogged_ = false;
       if (Worker.Polled_)
         drainWorker(Worker);
     }
@@ -130,10 +131,11 @@
   base::Duration TimeLeft =
       Worker.Info_.DrainTimeLeft_.value_or(Settings_.Times_.StopTimeout_) -
       (now() - Worker.DrainingSince_);
-  base::logEvent(base::LogLevel::Info, "worker-draining",
-                 {{"worker", Worker.Info_.Id_},
-                  {"runs", static_cast<int64_t>(Worker.Runs_.size())},
-                  {"remaining_ms", millis(TimeLeft)}});
+  if (!std::exchange(Worker.DrainLogged_, true))
+    base::logEvent(base::LogLevel::Info, "worker-draining",
+                   {{"worker", Worker.Info_.Id_},
+                    {"runs", static_cast<int64_t>(Worker.Runs_.size())},
+                    {"remaining_ms", millis(TimeLeft)}});
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_)) {
     // Until its job has recovered, its task can't start elsewhere.
     if (!hasRecovered(*Run->Job_))
--- a/tests/jobs/Recovery.tests.cpp
+++ b/tests/jobs/Recovery.tests.cpp
@@ -98,6 +98,23 @@
                [&] { return runsElsewhere("a.0.0.0", Draining); }));
 }
 
+// Guards against work that is lost although its worker said when it leaves: the
+// task was judged once, by its estimate.
+TEST_CASE_FIXTURE(RollingCluster,
+                  "A task that saves its progress and is slower "
+                  "than estimated is moved before its worker "
+                  "leaves") {
+  JobSpec Spec = chainJob(1, 1);
+  Spec.Steps_[0].Checkpoints_ = true;
+  World_.RunDuration_ = seconds(60);
+  submit("a", Spec);
+  runFor(seconds(2));
+  std::string Draining = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Draining.empty());
+  drain(Draining, seconds(5));
+  CHECK(within(seconds(5), [&] { return runsElsewhere("a.0.0.0", Draining); }));
+}
+
 TEST_CASE_FIXTURE(RollingCluster,
                   "A worker that left just before a planned takeover holds "
                   "back only the jobs that ran there") {
