--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -187,12 +187,12 @@
   updatePressure(Worker);
   throttleBestEffort(Worker);
   base::Duration Pause{};
-  if (Worker.HeldBackSequence_ != 0)
+  bool HasUndurableResults = !Worker.PendingAcknowledgements_.empty();
+  bool IsIdleUnlisted = !Worker.Registered_ && Worker.Runs_.empty();
+  if (Worker.HeldBackSequence_ != 0 || (IsIdleUnlisted && !HasUndurableResults))
     Pause = Settings_.Times_.PollWait_;
-  else if (!Worker.PendingAcknowledgements_.empty())
+  else if (HasUndurableResults)
     Pause = UndurablePollDelay;
-  else if (!Worker.Registered_ && Worker.Runs_.empty())
-    Pause = Settings_.Times_.PollWait_;
   Worker.NextPollAt_ = now() + std::max(Pause, Congestion_.pollPause());
 }
 
