Outwait the recorded rest of a longest lease

The rest is now taken whole. "A second successor waits for the longest lease as well" failed before: "a.0.0.0 runs on w1 and w0".

--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -84,8 +84,10 @@
     Worker.MayHoldLease_ = !Used.LeaseEnded_ || !SameIncarnation;
     Worker.GrantsExcluded_ = Used.LeaseEnded_ || Used.LeaseLeft_;
     Worker.RecordDurable_ = !Worker.GrantsExcluded_ && SameIncarnation;
+    // The rest of a longest lease exceeds the bound for the usual ones.
     if (Worker.RecordedLeaseEnd_ && Used.MayHoldLongestLease_)
-      Worker.LongestLeaseUntil_ = *Worker.RecordedLeaseEnd_;
+      Worker.LongestLeaseUntil_ = Worker.LatestLeaseEnd_ =
+          *Worker.RecordedLeaseEnd_;
     if (!Used.LeaseEnded_)
       RecordedHolders_.insert(Used.Id_);
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
--- a/tests/jobs/Coordinator.tests.cpp
+++ b/tests/jobs/Coordinator.tests.cpp
@@ -383,4 +383,27 @@
   requireNoViolations(World);
 }
 
+// Guards against two runs of a task: the recorded end of a longest lease was
+// cut to the usual one by the term after the next.
+TEST_CASE("A second successor waits for the longest lease as well") {
+  JobWorld World;
+  World.RequestsReachNextIncarnation_ = true;
+  World.RunDuration_ = seconds(100);
+  World.addWorker("w2", 500);
+  startWithWorkers(World, 1);
+  World.submit("a", chainJob(1, 1, 1'000));
+  World.run(seconds(20));
+  World.restartWorker("w0");
+  World.run(milliseconds(1300));
+  REQUIRE(World.Oracle_.RunningOn_["a.0.0.0"].count("w0") == 1);
+  World.worker("w0").DropsRequests_ = World.worker("w0").DropsReplies_ = true;
+  World.addWorker("w1");
+  World.startSuccessor();
+  World.run(milliseconds(1200));
+  World.startSuccessor();
+  World.run(seconds(20));
+  CHECK(World.Oracle_.RunningOn_["a.0.0.0"].count("w1") == 1);
+  requireNoViolations(World);
+}
+
 } // namespace crocuslead::jobs::test
