Expect a late request at the next incarnation of an emptied worker

A worker that has not answered in a term is now taken for one whose last request was just sent, whatever the record says of its lease. "An emptied worker that restarts may hold the longest lease" failed before: "a.0.0.0 runs on w1 and w2".

--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -59,6 +59,7 @@
   for (const internal::UsedWorker &Used : Read.Rows_) {
     bool Listed = Workers_.count(Used.Id_) > 0;
     if (!Listed && Used.LeaseEnded_) {
+      EarlierLeases_[Used.Id_] = now();
       if (Used.RunsAbandoned_)
         AbandonedIncarnations_[Used.Id_] = {Used.Address_, Used.StartTimeMs_,
                                             true, now()};
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -221,7 +221,9 @@
   ++FleetVersion_;
   WorkerInfo Info = Worker.Info_;
   bool Registered = Worker.Registered_;
-  if (Worker.MayObeyPredecessor_)
+  // A request of an earlier term may still be on its way to this worker's next
+  // incarnation, also if the record says that this one holds no lease.
+  if (Worker.MayObeyPredecessor_ || !Worker.Polled_)
     EarlierLeases_[Id] = now();
   else if (Worker.LastLeaseGrantAt_)
     EarlierLeases_[Id] = *Worker.LastLeaseGrantAt_;
--- a/tests/jobs/Takeover.tests.cpp
+++ b/tests/jobs/Takeover.tests.cpp
@@ -224,4 +224,48 @@
     FAIL_CHECK(Violation);
 }
 
+// Guards against two runs of a task: a poll of the former term reaches the next
+// incarnation of a worker that was recorded without a lease once it was
+// emptied, and grants it the longest lease.
+TEST_CASE("An emptied worker that restarts may hold the longest lease") {
+  JobWorld World;
+  for (const char *Id : {"w0", "w1", "w2"})
+    World.addWorker(Id);
+  World.worker("w2").Info_.Labels_ = {"l"};
+  World.startSuccessor();
+  World.run(seconds(30));
+  JobSpec Spec = chainJob(1, 1);
+  Spec.Steps_[0].RequiredLabel_ = "l";
+  Spec.Steps_[0].LongRunning_ = true;
+  World.submit("a", Spec);
+  World.run(seconds(1));
+  REQUIRE(World.Oracle_.RunningOn_["a.0.0.0"].count("w2") == 1);
+  World.worker("w2").Info_.Draining_ = true;
+  World.worker("w2").Info_.DrainTimeLeft_ = seconds(5);
+  World.publishWorkers();
+  World.run(milliseconds(300));
+  REQUIRE(World.worker("w2").Runs_.empty());
+  // The last poll that renewed the lease was sent before the run ended.
+  PollRequest Late;
+  Late.FencingToken_ = World.Term_;
+  Late.LeaseUntilMs_ =
+      base::toMillis(World.now() - World.worker("w2").StartedAt_) + 4'200;
+  World.startSuccessor();
+  World.restartWorkerUnregistered("w2");
+  World.worker("w2").Info_.Draining_ = false;
+  World.run(milliseconds(300));
+  World.poll({"w2", ""}, Late, [](const PollReply &) {});
+  World.run(seconds(1));
+  World.publishWorkers();
+  World.run(seconds(1));
+  REQUIRE(World.Oracle_.RunningOn_["a.0.0.0"].count("w2") == 1);
+  World.worker("w2").DropsRequests_ = World.worker("w2").DropsReplies_ = true;
+  World.worker("w1").Info_.Labels_ = {"l"};
+  World.publishWorkers();
+  World.run(seconds(20));
+  CHECK(World.Oracle_.RunningOn_["a.0.0.0"].count("w1") == 1);
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
 } // namespace crocuslead::jobs::test
