--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -25,10 +25,12 @@
 
 } // namespace
 
+// One that drains is polled until it is recorded without a lease, one that no
+// longer does until it is recorded with one.
 bool Coordinator::Impl::needsPoll(const WorkerEntry &Worker) const {
   return !Worker.Polled_ || !Worker.Runs_.empty() || Worker.PollFailures_ > 0 ||
          !Worker.Registered_ ||
-         (!Worker.MayHoldLease_ && !Worker.Info_.Draining_) ||
+         Worker.MayHoldLease_ == Worker.Info_.Draining_ ||
          (Worker.Clock_ && now() - Worker.Clock_->TakenAt_ >= MaxClockAge) ||
          Worker.AcknowledgedSequence_ > Worker.SentAcknowledgedSequence_ ||
          !Worker.PendingAcknowledgements_.empty() || mustConfirmTerm(Worker);
@@ -188,8 +190,9 @@
   throttleBestEffort(Worker);
   base::Duration Pause{};
   bool HasUndurableResults = !Worker.PendingAcknowledgements_.empty();
-  bool IsIdleUnlisted = !Worker.Registered_ && Worker.Runs_.empty();
-  if (Worker.HeldBackSequence_ != 0 || (IsIdleUnlisted && !HasUndurableResults))
+  bool IsLeaving = !Worker.Registered_ || Worker.Info_.Draining_;
+  if (Worker.HeldBackSequence_ != 0 ||
+      (IsLeaving && Worker.Runs_.empty() && !HasUndurableResults))
     Pause = Settings_.Times_.PollWait_;
   else if (HasUndurableResults)
     Pause = UndurablePollDelay;
--- a/tests/jobs/Takeover.tests.cpp
+++ b/tests/jobs/Takeover.tests.cpp
@@ -224,6 +224,23 @@
     FAIL_CHECK(Violation);
 }
 
+TEST_CASE_FIXTURE(ThreeWorkers, "An idle worker that drains before it "
+                                "leaves holds back no takeover") {
+  World_.run(seconds(75));
+  REQUIRE(World_.state("a") == JobState::Completed);
+  for (int Polls = World_.worker("w2").Polls_;
+       World_.worker("w2").Polls_ == Polls;)
+    World_.run(milliseconds(10));
+  World_.run(milliseconds(500));
+  World_.worker("w2").Info_.Draining_ = true;
+  World_.worker("w2").Info_.DrainTimeLeft_ = seconds(5);
+  World_.publishWorkers();
+  World_.run(seconds(5));
+  World_.crashWorker("w2");
+  unlist("w2");
+  CHECK(recoversPromptly());
+}
+
 // Guards against two runs of a task: a poll of the former term reaches the next
 // incarnation of a worker that was recorded without a lease once it was
 // emptied, and grants it the longest lease.
