Count the time that is left to a draining worker from when it was read

Shown with a fake entry; whether a worker's entry on the platform renews it was not checked.

"A task that ends before its draining worker does is not stopped" failed before. The commit brings two tests of the same reader that pass with and without it: nothing is started on a worker whose lease end is recorded before the record says otherwise.

--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -313,8 +313,8 @@
   bool TailsUnderPressure_ = false;
   //! A serving task on the worker was over its tail target at the last poll.
   bool TailOverTarget_ = false;
-  //! When this coordinator learned that it drains.
-  base::TimePoint DrainingSince_;
+  //! When Info_.DrainTimeLeft_ was read from the registry, or its lack.
+  base::TimePoint DrainTimeReadAt_;
   bool DrainLogged_ = false;
   uint64_t Sequence_ = 0;
 };
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -40,8 +40,7 @@
   ++FleetVersion_;
   if (auto It = EarlierLeases_.find(Info.Id_); It != EarlierLeases_.end())
     expectLongestLease(*Worker, It->second);
-  if (Info.Draining_)
-    Worker->DrainingSince_ = now();
+  Worker->DrainTimeReadAt_ = now();
   restoreAbandonment(*Worker);
   startProbation(*Worker, "worker-found");
   markUsedWorkersDirty();
@@ -91,13 +90,15 @@
       markUsedWorkersDirty();
     if (!(Info == Worker.Info_))
       ++FleetVersion_;
+    if (Info.DrainTimeLeft_ != Worker.Info_.DrainTimeLeft_)
+      Worker.DrainTimeReadAt_ = now();
     Worker.Info_ = Info;
     if (!Worker.Registered_) {
       Worker.Registered_ = true;
       Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
     }
     if (StartsDraining) {
-      Worker.DrainingSince_ = now();
+      Worker.DrainTimeReadAt_ = now();
       Worker.DrainLogged_ = false;
       if (Worker.Polled_)
         drainWorker(Worker);
@@ -130,7 +131,7 @@
 void Coordinator::Impl::drainWorker(WorkerEntry &Worker) {
   base::Duration TimeLeft =
       Worker.Info_.DrainTimeLeft_.value_or(Settings_.Times_.StopTimeout_) -
-      (now() - Worker.DrainingSince_);
+      (now() - Worker.DrainTimeReadAt_);
   if (!std::exchange(Worker.DrainLogged_, true))
     base::logEvent(base::LogLevel::Info, "worker-draining",
                    {{"worker", Worker.Info_.Id_},
--- a/tests/jobs/Recovery.tests.cpp
+++ b/tests/jobs/Recovery.tests.cpp
@@ -239,4 +239,65 @@
     FAIL_CHECK(Violation);
 }
 
+// Guards against lost room: the registry's entry gives the time that is left
+// anew in each heartbeat, and the time since the flag is taken off once more.
+TEST_CASE_FIXTURE(RollingCluster, "A task that ends before its draining "
+                                  "worker does is not stopped") {
+  World_.RunDuration_ = seconds(8);
+  JobSpec Spec = chainJob(1, 1);
+  Spec.Steps_[0].Checkpoints_ = true;
+  Spec.Steps_[0].EstimatedDuration_ = seconds(8);
+  submit("a", Spec);
+  runFor(seconds(1));
+  std::string Draining = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Draining.empty());
+  for (int Left = 10; Left > 2; --Left) {
+    drain(Draining, seconds(Left));
+    runFor(seconds(1));
+  }
+  CHECK(startsOfJob("a") == 1);
+}
+
+namespace {
+
+JobSpec onlyOn(const std::string &Label) {
+  JobSpec Spec = chainJob(1, 1);
+  Spec.Steps_[0].RequiredLabel_ = Label;
+  return Spec;
+}
+
+} // namespace
+
+// Guards against two runs of a task: the next term waits for the recorded end.
+TEST_CASE_FIXTURE(UnreachableWorker,
+                  "Nothing is started on a worker whose lease end was "
+                  "recorded in this term before the record says otherwise") {
+  World_.worker(Id_).Info_.Labels_ = {"l"};
+  World_.startSuccessor();
+  World_.submit("b", onlyOn("l"));
+  World_.run(milliseconds(2'100));
+  World_.StoreDown_ = true;
+  World_.worker(Id_).DropsRequests_ = World_.worker(Id_).DropsReplies_ = false;
+  World_.run(seconds(2));
+  REQUIRE(World_.Coordinator_->stats().ReachableWorkers_ == 4);
+  CHECK(World_.startsOf("b.0.0.0") == 0);
+}
+
+TEST_CASE_FIXTURE(UnreachableWorker,
+                  "Nothing is started on a worker whose lease end was "
+                  "recorded in an earlier term before the record says "
+                  "otherwise") {
+  World_.worker(Id_).Info_.Labels_ = {"l"};
+  World_.startSuccessor();
+  World_.submit("b", onlyOn("l"));
+  World_.run(milliseconds(2'100));
+  World_.startSuccessor();
+  World_.run(milliseconds(10));
+  World_.StoreDown_ = true;
+  World_.worker(Id_).DropsRequests_ = World_.worker(Id_).DropsReplies_ = false;
+  World_.run(seconds(2));
+  REQUIRE(World_.Coordinator_->stats().ReachableWorkers_ == 4);
+  CHECK(World_.startsOf("b.0.0.0") == 0);
+}
+
 } // namespace crocuslead::jobs::test
