Use the recorded rest of a lease in the next term alone

In a rolling upgrade a coordinator of an earlier version ignores the rest and grants leases at once; if its term ends before it writes the record, the next one took the old rest as valid. And a term that ended within a second wiped the rests that it had read.

A row names the term that wrote the rest, and only the next term uses it; a term writes the rests that it has read with its first record. A worker that was emptied while a record of it as a lease holder was under way does not count as recorded.

"A recorded lease end is used by the next term only" fails without the check.

--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -66,11 +66,13 @@
 }
 
 // A worker that has not answered in this term was granted no lease in it. Most
-// answer at once, so a recovery that is over soon records no bounds.
+// answer at once, so a recovery that is over soon adds no bounds.
 std::optional<base::Duration>
 Coordinator::Impl::recordedLeaseLeft(const WorkerEntry &Worker) const {
-  if (!Recovering_ || Worker.Polled_ || !Worker.MayHoldLease_ ||
-      now() - RecoveryStartedAt_ < MinRecordedRecovery)
+  if (!Recovering_ || Worker.Polled_ || !Worker.MayHoldLease_)
+    return std::nullopt;
+  if (now() - RecoveryStartedAt_ < MinRecordedRecovery &&
+      !Worker.GrantsExcluded_)
     return std::nullopt;
   return leaseEnd(Worker) - now();
 }
@@ -83,11 +85,11 @@
                    Worker->Info_.StartTimeMs_, MayHoldLongestLease,
                    Worker->RunsAbandoned_,
                    !Worker->MayHoldLease_ && !MayHoldLongestLease,
-                   recordedLeaseLeft(*Worker)});
+                   recordedLeaseLeft(*Worker), Settings_.Term_});
   }
   for (const auto &[Id, Gone] : AbandonedIncarnations_)
     Out.push_back(
-        {Id, Gone.Address_, Gone.StartTimeMs_, false, true, true, {}});
+        {Id, Gone.Address_, Gone.StartTimeMs_, false, true, true, {}, 0});
   return Out;
 }
 
@@ -173,7 +175,8 @@
   if (Finished.RecordsUsedWorkers_)
     MaxRecordedHolders_ = Finished.RecordedHolders_;
   for (const std::string &Id : Finished.LeaseHolders_)
-    if (auto It = Workers_.find(Id); It != Workers_.end()) {
+    if (auto It = Workers_.find(Id);
+        It != Workers_.end() && It->second->MayHoldLease_) {
       It->second->RecordDurable_ = true;
       It->second->GrantsExcluded_ = false;
       PlacementRequested_ = true;
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -78,7 +78,9 @@
     // the recorded one may have reached it.
     if (!SameIncarnation)
       expectLongestLease(Worker, now() + lastLeaseAfterTerm());
-    else if (Used.LeaseLeft_)
+    // A term between the two may have run an earlier version, which does not
+    // read the rest and grants leases all the same.
+    else if (Used.LeaseLeft_ && Used.LeaseLeftTerm_ + 1 == Settings_.Term_)
       Worker.RecordedLeaseEnd_ = now() + *Used.LeaseLeft_;
     else if (Used.MayHoldLongestLease_)
       expectLongestLease(Worker, now());
--- a/src/jobs/internal/UsedWorkers.cpp
+++ b/src/jobs/internal/UsedWorkers.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t AbandonedIndex = 4;
 constexpr std::size_t LeaseEndedIndex = 5;
 constexpr std::size_t LeaseLeftIndex = 6;
+constexpr std::size_t LeaseLeftTermIndex = 7;
 
 std::optional<UsedWorker> decodeRow(const json &Row) {
   if (!Row.is_array() || Row.size() < RowSize || !Row[0].is_string() ||
@@ -33,9 +34,12 @@
   Out.RunsAbandoned_ = Flag(AbandonedIndex);
   Out.LeaseEnded_ = Flag(LeaseEndedIndex);
   if (Row.size() > LeaseLeftIndex) {
-    if (!Row[LeaseLeftIndex].is_number_integer())
+    if (Row.size() <= LeaseLeftTermIndex ||
+        !Row[LeaseLeftIndex].is_number_integer() ||
+        !Row[LeaseLeftTermIndex].is_number_unsigned())
       return std::nullopt;
     Out.LeaseLeft_ = leaseLeftOf(Row[LeaseLeftIndex].get<int64_t>());
+    Out.LeaseLeftTerm_ = Row[LeaseLeftTermIndex].get<uint64_t>();
     if (!Out.LeaseLeft_)
       return std::nullopt;
   }
@@ -54,8 +58,10 @@
       Row.push_back(Each.RunsAbandoned_);
       Row.push_back(Each.LeaseEnded_);
     }
-    if (Each.LeaseLeft_)
+    if (Each.LeaseLeft_) {
       Row.push_back(leaseLeftMillis(*Each.LeaseLeft_));
+      Row.push_back(Each.LeaseLeftTerm_);
+    }
     Rows.push_back(std::move(Row));
   }
   return Rows.dump();
--- a/src/jobs/internal/UsedWorkers.h
+++ b/src/jobs/internal/UsedWorkers.h
@@ -26,6 +26,8 @@
   //! Its last lease ends at most this long after the record was written, and
   //! none is granted before its row says otherwise.
   std::optional<base::Duration> LeaseLeft_;
+  //! The term that wrote LeaseLeft_.
+  uint64_t LeaseLeftTerm_ = 0;
 };
 
 struct UsedWorkers {
@@ -35,8 +37,8 @@
 };
 
 //! A JSON array with one row for each worker: id, address, start time and, if
-//! any is set, the flags in the order of UsedWorker and the milliseconds of
-//! LeaseLeft_.
+//! any is set, the flags in the order of UsedWorker, the milliseconds of
+//! LeaseLeft_ and its term.
 std::string encodeUsedWorkers(const std::vector<UsedWorker> &Workers);
 //! Leaves out rows of another shape and logs them.
 UsedWorkers decodeUsedWorkers(const std::string &Record);
--- a/tests/jobs/Recovery.tests.cpp
+++ b/tests/jobs/Recovery.tests.cpp
@@ -215,6 +215,25 @@
   CHECK(World_.startsOf("a.0.0.0") == 2);
 }
 
+// Guards against two runs of a task: an earlier version of the program grants
+// leases although a row has a rest.
+TEST_CASE_FIXTURE(UnreachableWorker, "A recorded lease end is used by the next "
+                                     "term only") {
+  World_.startSuccessor();
+  World_.run(seconds(3));
+  std::string Record = World_.Stored_[Coordinator::UsedWorkersKey];
+  FakeWorker &Worker = World_.worker(Id_);
+  Worker.DropsRequests_ = Worker.DropsReplies_ = false;
+  World_.run(seconds(2));
+  REQUIRE(World_.Coordinator_->stats().Runs_ == 1);
+  Worker.DropsRequests_ = Worker.DropsReplies_ = true;
+  World_.Stored_[Coordinator::UsedWorkersKey] = Record;
+  ++World_.Term_;
+  World_.startSuccessor();
+  World_.run(seconds(10));
+  CHECK(World_.startsOf("a.0.0.0") == 2);
+}
+
 // Guards against two runs of a task: the term between the two granted a lease.
 TEST_CASE("A handover is used by the next term only") {
   JobWorld World;
--- a/tests/jobs/UsedWorkers.tests.cpp
+++ b/tests/jobs/UsedWorkers.tests.cpp
@@ -5,14 +5,15 @@
 namespace crocuslead::jobs::internal::test {
 
 TEST_CASE("Used workers are read as they were written") {
-  auto Read = decodeUsedWorkers(
-                  encodeUsedWorkers({{"w1", "a:1", 7, false, false, false, {}},
-                                     {"w2", "b:1", 8, true, false, false, {}},
-                                     {"w3", "c:1", 9, false, true, false, {}},
-                                     {"w4", "d:1", 10, false, false, true, {}},
-                                     {"w5", "e:1", 11, false, false, false,
-                                      std::chrono::microseconds(1500)}}))
-                  .Rows_;
+  auto Read =
+      decodeUsedWorkers(
+          encodeUsedWorkers({{"w1", "a:1", 7, false, false, false, {}, 0},
+                             {"w2", "b:1", 8, true, false, false, {}, 0},
+                             {"w3", "c:1", 9, false, true, false, {}, 0},
+                             {"w4", "d:1", 10, false, false, true, {}, 0},
+                             {"w5", "e:1", 11, false, false, false,
+                              std::chrono::microseconds(1500), 3}}))
+          .Rows_;
   REQUIRE(Read.size() == 5);
   CHECK(Read[0].Address_ == "a:1");
   CHECK_FALSE(Read[0].RunsAbandoned_);
@@ -24,6 +25,7 @@
   CHECK(Read[3].LeaseEnded_);
   CHECK_FALSE(Read[3].LeaseLeft_);
   CHECK(Read[4].LeaseLeft_ == std::chrono::milliseconds(2));
+  CHECK(Read[4].LeaseLeftTerm_ == 3);
 }
 
 TEST_CASE("A record of an earlier version has rows without flags") {
@@ -37,8 +39,8 @@
 TEST_CASE("An unreadable row of the record of used workers is left out") {
   auto Read = decodeUsedWorkers(
       R"([["w1","a:1",7],[1,2,3],"x",["w2","b:1","9"],["w3"],{},
-          ["w4","d:1",10,false,false,false,-1],
-          ["w5","e:1",11,false,false,false,"9"]])");
+          ["w4","d:1",10,false,false,false,-1,3],
+          ["w5","e:1",11,false,false,false,"9",3],["w6","f:1",12,false,false,false,9]])");
   CHECK(Read.Rows_.size() == 1);
   CHECK_FALSE(Read.Complete_);
   CHECK(decodeUsedWorkers("{").Rows_.empty());
