Replace workers and roll the entries in scripts/terms, and check LOST

Cause: scripts/terms stopped entries one at a time, and its workers neither drained nor left.

Change: - replace-worker: a new worker (new id and port) registers, the old one turns to draining with remaining_ms, serves on for 2 to 7 s (at times up to 1 s more) and leaves: its runs end, its connections close, its entry is removed. One, four or all workers in a series, one each 0.3 to 0.7 s. - roll: SIGTERM to all entries, one each 1 to 2 s, in random order or, in half of the rolls, always to the coordinator. Each restarts as terminate does. - Planned work (these two and terminate) is drawn beside the faults, so that these are as frequent as before. Nothing is excused. - LOST: a lasting task of an accepted, uncancelled job that ran before has no run for over 8 s (the rule: 9 s), while two workers that stay have room for it, with no fault and none for 11 s before (5 s, and 6 s for late requests).

--- a/scripts/lib/domains.py
+++ b/scripts/lib/domains.py
@@ -11,7 +11,7 @@
 import time
 
 import soak
-from platform_standin import Drop, Store, Worker, make_random
+from platform_standin import Drop, Store, Worker, make_random, serve
 
 DOMAINS = ("d0", "d1", "d2")
 STORE_DOMAIN = DOMAINS[0]
@@ -101,10 +101,12 @@
 
 
 class DomainWorker(Worker):
-    """A worker that requests and answers reach as the cuts allow."""
+    """A worker that requests and answers reach as the cuts allow; it may drain and leave."""
 
     def __init__(self, name, run, rng, domain):
         self.run, self.loses_answers = run, False
+        self.registered_at, self.leaves_at, self.writers = math.inf, None, set()
+        self.replacing = self.left = False
         super().__init__(name, run.account, rng, zone=domain, rack=f"{domain}-1")
         self.max_hold_ms, self.clock_rate = run.args.max_hold_ms, rng.uniform(0.98, 1.0)
 
@@ -113,6 +115,29 @@
         self.run.account.lapsed(self.name)
         self.renewed, self.polled, self.listed, self.asked, self.heard = {}, {}, {}, {}, {}
 
+    async def begin(self):
+        # An address of the run's own: a port that a worker has left may go to a worker of another run.
+        self.server, self.port = await serve(self.handle, self.run.worker_ip, writers=self.writers)
+        self.working = asyncio.get_running_loop().create_task(self.work())
+
+    def entry(self):
+        entry = json.loads(super().entry(self.port))
+        entry["address"] = f"{self.run.worker_ip}:{self.port}"
+        if self.leaves_at is not None:
+            entry.update(state="draining", remaining_ms=max(0, int(1000 * (self.leaves_at - time.monotonic()))))
+        return json.dumps(entry).encode()
+
+    def leave(self):
+        """Ends as a process that exits: its runs, unread results and connections go with it."""
+        self.left = True
+        for task in list(self.runs):
+            self.finish(task, "left")
+        self.life()
+        self.working.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def lapse(self):
         if self.clock() >= self.lease_end:
             self.run.account.lapsed(self.name)
@@ -140,6 +165,8 @@
         return await super().hold(data)
 
     async def handle(self, method, path, query, headers, body):
+        if self.left:
+            raise Drop
         data, born = json.loads(body), self.born
         sender = self.run.sender(data)
         call = path.rsplit("/", 1)[1].replace("-", "_")
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -21,10 +21,15 @@
     """The connection ends without an answer."""
 
 
-async def serve(handler, host="127.0.0.1", port=0):
-    """Answers each request with handler(method, path, query, headers, body) -> (status, object)."""
+async def serve(handler, host="127.0.0.1", port=0, writers=None):
+    """Answers each request with handler(method, path, query, headers, body) -> (status, object).
+
+    The set writers, if given, holds the open connections.
+    """
+    writers = set() if writers is None else writers
 
     async def connection(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -42,6 +47,7 @@
         except (Drop, asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(connection, host, port, limit=1 << 20)
--- a/scripts/lib/runs.py
+++ b/scripts/lib/runs.py
@@ -1,4 +1,4 @@
-"""What ran where and by whose order, as the workers of terms.py saw it, checked against TWICE and measured.
+"""What ran where and by whose order, as the workers of terms.py saw it, checked against TWICE and LOST and measured.
 
 A run of terms.py gives the workers and entries by name, and for each term its instance and the time it began.
 """
@@ -13,6 +13,8 @@
 MEASURES = ("between the orders", "last renewal by the later sender", "first poll by a successor",
             "last start request of the earlier run", "last request of the later sender",
             "last list to the later sender", "next term began", "store last answered the later sender", "overlap")
+# A lease of 6 s by the slowest clock, and time for a new term to find out that it has ended. The rule allows 9 s.
+LOST_SECONDS = 8
 
 
 class Runs(Account):
@@ -22,6 +24,7 @@
         super().__init__()
         self.run, self.starts, self.overlaps = run, 0, collections.defaultdict(list)
         self.ends, self.pending = collections.defaultdict(list), []
+        self.last_ends, self.lost, self.longest = {}, {}, 0.0
 
     def start(self, task, worker, order):
         self.starts += 1
@@ -65,6 +68,8 @@
 
     def end(self, task, worker, how):
         order = self.running.get(task, {}).pop(worker, None)
+        if order:
+            self.last_ends[task] = {**order, "how": how, "ended": time.monotonic()}
         for breach in [b for b in self.overlaps[task] if worker in (b["later"]["worker"], b["earlier"]["worker"])]:
             self.overlaps[task].remove(breach)
             breach["overlap"] = time.monotonic() - breach["later"]["at"]
@@ -82,6 +87,18 @@
             if end["order"]["worker"] == worker and not end["noted"]:
                 end["void"] = True
 
+    def look(self, task, excused):
+        """Finds a lasting task that ran before and is without a run since long, not counting time until excused."""
+        last, now = self.last_ends.get(task), time.monotonic()
+        if not last or self.running.get(task):
+            return
+        self.longest = max(self.longest, now - max(last["ended"], excused))
+        if now - max(last["ended"], excused) <= LOST_SECONDS:
+            return
+        if (task, last["ended"]) not in self.lost:
+            self.run.note(f"BREACH lost: {task} run {last['run']}")
+        self.lost[task, last["ended"]] = {"task": task, "last": last, "seconds": now - last["ended"]}
+
     def conclude(self):
         """Starts after an end that was taken note of later."""
         for end, breach in self.pending:
@@ -121,10 +138,15 @@
 
 
 def report(run):
-    breaches = run.account.breaches
-    print(f"seed {run.args.seed}: {'FAILED' if breaches else 'ok'}, {run.account.starts} starts, "
-          f"{len(run.terms)} terms, {run.faults} faults, {len(run.accepted)} of {run.jobs} jobs accepted, "
-          f"{len(breaches)} breaches")
+    breaches, lost = run.account.breaches, list(run.account.lost.values())
+    print(f"seed {run.args.seed}: {'FAILED' if breaches or lost else 'ok'}, {run.account.starts} starts, "
+          f"{len(run.terms)} terms, {run.faults} faults, {run.replaced} workers replaced "
+          f"({run.left_in_roll} left in a roll), {len(run.accepted)} of {run.jobs} jobs accepted, "
+          f"{len(breaches)} breaches, {len(lost)} lost "
+          f"(longest wait {run.account.longest:.2f} s)")
+    for b in lost[:run.args.show]:
+        print(f"  LOST {b['task']}: without a run for {b['seconds']:.2f} s since {b['last']['ended'] - run.began:.3f}; "
+              f"{b['last']['how']} {describe(b['last'], run.began)}")
     for b in breaches[:run.args.show]:
         figures = ", ".join(f"{name} {b[name]:.2f}" for name in MEASURES if b.get(name) is not None)
         print(f"  TWICE {b['kind']}: {b['task']}: {describe(b['later'], run.began)}; "
@@ -132,5 +154,5 @@
     for group in ("one sender, one term", "one sender, two terms", "two senders"):
         spread(group, [b for b in breaches if group_of(b) == group])
     spread("one sender, later run in its domain and earlier run outside", [b for b in breaches if is_as_recorded(b)])
-    if breaches:
+    if breaches or lost:
         print(f"  logs: {run.folder}")
--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -1,11 +1,17 @@
-"""Randomized changes of the coordinator, checked against TWICE: no task runs twice at once.
+"""Randomized changes of the coordinator, checked against TWICE (no task runs twice at once) and LOST.
 
 Real entry instances and stand-in workers in three failure domains; the store is in the first one. Jobs that
 last and finite ones are submitted, cancelled and read through any entry while domains, store paths and workers
 fail, overlapping and in series. Workers and the store tell the domain of a request's sender by its fencing
 token, by the leader keys that the store has seen. The workers' view decides what ran, not the entries' logs.
 
-Not covered: traffic between entries is never cut, and no clock jumps.
+Beside the faults there is planned work: entries are stopped, alone or all in a series, and workers are replaced,
+one or several overlapping: the new one registers, the old one drains, serves on for some seconds and leaves.
+Each seed that can be divided by 3 has planned work only. LOST is checked in calm time, so in effect there: a
+lasting task of an accepted job that nobody cancelled ran before and then has no run for over 8 s, although two
+workers have room for it all the while.
+
+Not covered: traffic between entries is never cut, no clock jumps, and LOST says nothing about finite jobs.
 
 Usage: terms.py [--seed N] [--seeds N] [--seconds S] [--binary PATH] [--max-hold-ms MS] [--quiet-faults KIND,..]
 The exit code is 1 with breaches, whose logs are kept, 2 if nothing ran, and 0 otherwise.
@@ -16,6 +22,7 @@
 import base64
 import collections
 import json
+import math
 import os
 import shutil
 import signal
@@ -26,8 +33,8 @@
 import traceback
 
 import soak
-from domains import DOMAINS, STORE_DOMAIN, DomainWorker, Entry, TermStore
-from platform_standin import make_random, serve
+from domains import DOMAINS, STORE_DOMAIN, DomainWorker, Entry, TermStore, free_address
+from platform_standin import LATE_SECONDS, make_random, serve
 from runs import Runs, report
 
 ENTRIES, WORKERS = 2, 4  # in each domain
@@ -35,10 +42,16 @@
 LAPSE = 3 * HEARTBEAT
 SETTLE_SECONDS = 9
 LONG_JOBS = 8
+DRAIN_SECONDS = (2, 7)
 LONGEST_REST = 60  # for the start, the last faults and the settling
 GRACE_SECONDS = 6
 # What ends a term while its coordinator goes on is drawn more often than the other kinds.
-SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2}
+SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2,
+          "replace-worker": 2, "roll": 2}
+PLANNED = ("replace-worker", "roll", "terminate")
+# Calm begins this long after the last fault, whose late requests arrive first.
+CALM_SECONDS = 5 + LATE_SECONDS[1]
+CHECK_INTERVAL = 0.1
 
 
 class Run:
@@ -46,12 +59,13 @@
 
     def __init__(self, args, folder):
         self.args, self.folder, self.rng = args, folder, make_random(args.seed)
-        self.terms, self.lost, self.long_jobs = {}, collections.Counter(), set()
+        self.terms, self.lost, self.long_jobs, self.cancelled = {}, collections.Counter(), {}, set()
         self.quiet = set(args.quiet_faults.split(","))
         self.faults, self.jobs, self.accepted, self.fault_tasks = 0, 0, [], []
         self.began, self.events = time.monotonic(), open(f"{folder}/events.log", "w", encoding="ascii")
         self.account, self.store = Runs(self), TermStore(self.rng, self)
-        self.workers, self.entries = {}, {}
+        self.workers, self.entries, self.worker_ip, self.replaced = {}, {}, free_address(), 0
+        self.rolling, self.left_in_roll, self.unplanned, self.calm_from = False, 0, 0, 0.0
 
     def note(self, text):
         print(f"{time.monotonic() - self.began:8.3f} {text}", file=self.events, flush=True)
@@ -77,11 +91,7 @@
         loop.create_task(self.store.expire())
         for domain in DOMAINS:
             for i in range(WORKERS):
-                worker = DomainWorker(f"w-{domain}-{i}", self, self.rng, domain)
-                self.workers[worker.name] = worker
-                _, port = await serve(worker.handle)
-                loop.create_task(worker.work())
-                loop.create_task(self.heartbeats(worker, port))
+                await self.add_worker(f"w-{domain}-{i}", domain)
             for i in range(ENTRIES):
                 entry = Entry(f"entry-{domain}-{i}", domain, self.folder, self)
                 self.entries[entry.name] = entry
@@ -89,14 +99,33 @@
         for entry in self.entries.values():
             entry.start()
 
-    async def heartbeats(self, worker, port):
+    async def add_worker(self, name, domain):
+        worker = self.workers[name] = DomainWorker(name, self, self.rng, domain)
+        await worker.begin()
+        asyncio.get_running_loop().create_task(self.heartbeats(worker))
+        return worker
+
+    def present(self):
+        return [w for w in self.workers.values() if not w.left]
+
+    async def register(self, worker):
+        """Writes the entry of a worker, or removes it if the worker has left; False if the store is out of reach."""
+        if self.store.mode is not None or not self.passes(worker.zone, STORE_DOMAIN, "store"):
+            return False
+        if worker.left:
+            self.store.remove(f"servers/{worker.name}")
+        else:
+            self.store.put(f"servers/{worker.name}", worker.entry())
+            worker.registered_at = min(worker.registered_at, time.monotonic())
+        await self.store.notify()
+        return True
+
+    async def heartbeats(self, worker):
         """Registers a worker; its entry lapses after three missed intervals."""
         key, last = f"servers/{worker.name}", 0.0
-        while True:
-            if self.store.mode is None and self.passes(worker.zone, STORE_DOMAIN, "store"):
-                self.store.put(key, worker.entry(port))
+        while not worker.left or key in self.store.items:
+            if not worker.left and await self.register(worker):
                 last = time.monotonic()
-                await self.store.notify()
             elif time.monotonic() - last > LAPSE and key in self.store.items and not self.store.keeps_leases:
                 self.store.remove(key)
                 await self.store.notify()
@@ -115,7 +144,7 @@
             step = {"count": self.rng.randint(3, 8), "cpu": 500, "memory_limit_mb": 100, "estimated_ms": 900}
             if lasting:
                 step.update(long_running=True, anti_affinity=self.rng.randint(1, 2))
-                self.long_jobs.add(job)
+                self.long_jobs[job] = step
                 asyncio.get_running_loop().create_task(self.cancel(job, self.rng.uniform(8, 40)))
             for _ in range(4):
                 status, _ = await soak.call(self.pick().ip, "POST", f"/q/{job}", {"task_spec": "t", "steps": [step]})
@@ -126,11 +155,12 @@
 
     async def cancel(self, job, after):
         await asyncio.sleep(after)
+        self.cancelled.add(job)
         for _ in range(5):
             if (await soak.call(self.pick().ip, "DELETE", f"/q/{job}"))[0] in (200, 410):
                 break
             await asyncio.sleep(0.5)
-        self.long_jobs.discard(job)
+        self.long_jobs.pop(job)
 
     async def reader(self):
         while time.monotonic() < self.end:
@@ -138,23 +168,58 @@
             if self.accepted:
                 await soak.call(self.pick().ip, "GET", f"/q/{self.rng.choice(self.accepted[-40:])}")
 
-    async def inject(self):
-        """Injects faults one after the other and, at times, several within a second."""
+    def workers_with_room(self, job, step):
+        """Counts workers that could run one more task of the step and stay; ones just registered may be unknown."""
+        known = time.monotonic() - 2 * CHECK_INTERVAL - HEARTBEAT
+        return sum(w.leaves_at is None and w.registered_at < known and (len(w.runs) + 1) * step["cpu"] <= w.cpu
+                   and sum(t.startswith(job) for t in w.runs) < step["anti_affinity"] for w in self.present())
+
+    async def watch(self):
+        """Looks for LOST. Time counts while no fault goes on, this process is not held up and there is room."""
+        before, full = time.monotonic(), {}
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL)
+            now = time.monotonic()
+            if self.unplanned:
+                self.calm_from = now + CALM_SECONDS
+            elif now - before > 10 * CHECK_INTERVAL:
+                self.calm_from = max(self.calm_from, now)
+            before = now
+            for job, step in list(self.long_jobs.items()):
+                if self.workers_with_room(job, step) < 2:
+                    full[job] = now
+                if job in self.accepted and job not in self.cancelled:
+                    for i in range(step["count"]):
+                        self.account.look(f"{job}.0.0.{i}", max(self.calm_from, full.get(job, 0.0)))
+
+    async def inject(self, planned):
+        """Injects faults, or planned work, one after the other and, at times, several within a second."""
         kinds = {"domain": self.domain, "coordinator-domain": self.coordinator_domain, "one-way": self.one_way,
                  "coordinator-store": self.coordinator_store, "watches-only": self.watches_only,
                  "store-down": self.store_down, "store-loses-answers": self.store_loses_answers,
                  "leader-key": self.leader_key, "compact": self.compact, "worker-answers": self.worker_answers,
                  "late-orders": self.late_orders, "rebirth": self.rebirth, "pause": self.pause, "kill": self.kill,
-                 "terminate": self.terminate}
-        kinds = [kinds[name] for name in kinds if name not in self.quiet for _ in range(SHARES.get(name, 1))]
-        while time.monotonic() < self.end:
+                 "terminate": self.terminate, "replace-worker": self.replace_worker, "roll": self.roll}
+        names = [name for name in kinds if name not in self.quiet and (name in PLANNED) == planned
+                 for _ in range(SHARES.get(name, 1))]
+        while names and time.monotonic() < self.end:
             await asyncio.sleep(self.rng.uniform(0.3, 2.8))
-            kind = self.rng.choice(kinds)
+            name = self.rng.choice(names)
             for _ in range(self.rng.randint(2, 4) if self.rng.random() < 0.2 else 1):
                 self.faults += 1
-                self.fault_tasks.append(asyncio.get_running_loop().create_task(kind()))
+                fault = kinds[name]() if planned else self.disturb(kinds[name])
+                self.fault_tasks.append(asyncio.get_running_loop().create_task(fault))
                 await asyncio.sleep(self.rng.uniform(0.1, 1.2))
 
+    async def disturb(self, kind):
+        """Injects a fault, as opposed to planned work, and notes that it goes on."""
+        self.unplanned += 1
+        try:
+            await kind()
+        finally:
+            self.unplanned -= 1
+            self.calm_from = time.monotonic() + CALM_SECONDS
+
     async def cut(self, text, pairs, seconds):
         self.note(f"{text} for {seconds:.1f} s")
         self.lost.update(pairs)
@@ -225,7 +290,7 @@
         self.store.compact()
 
     async def worker_answers(self):
-        chosen = self.rng.sample(list(self.workers.values()), len(self.workers) // 2)
+        chosen = self.rng.sample(self.present(), len(self.present()) // 2)
         self.note(f"answers lost of {' '.join(w.name for w in chosen)}")
         for worker in chosen:
             worker.loses_answers = True
@@ -234,7 +299,7 @@
             worker.loses_answers = False
 
     async def late_orders(self):
-        chosen = self.rng.sample(list(self.workers.values()), 4)
+        chosen = self.rng.sample(self.present(), 4)
         self.note(f"late orders at {' '.join(w.name for w in chosen)}")
         for worker in chosen:
             worker.late_orders = 0.4
@@ -243,7 +308,7 @@
             worker.late_orders = 0.0
 
     async def rebirth(self):
-        worker = self.rng.choice(list(self.workers.values()))
+        worker = self.rng.choice(self.present())
         self.note(f"{worker.name} is born again")
         worker.life()
 
@@ -266,6 +331,50 @@
         entry.signal(signal.SIGTERM)
         await self.restart(entry)
 
+    async def roll(self):
+        """Stops all entries in a series, as for a new version; at times whichever coordinates is the next."""
+        if self.rolling:
+            return
+        self.rolling, left, follow, stops = True, list(self.entries.values()), self.rng.random() < 0.5, []
+        while left:
+            entry = self.coordinator()
+            if not follow or entry not in left:
+                entry = self.rng.choice(left)
+            left.remove(entry)
+            self.note(f"{entry.name} terminated in a series")
+            entry.signal(signal.SIGTERM)
+            stops.append(asyncio.get_running_loop().create_task(self.restart(entry)))
+            await asyncio.sleep(self.rng.uniform(1, 2))
+        await asyncio.gather(*stops)
+        self.rolling = False
+
+    async def replace_worker(self):
+        """Replaces one worker or, in a series, several."""
+        staying, series = [w for w in self.present() if not w.replacing], []
+        for worker in self.rng.sample(staying, min(len(staying), self.rng.choice([1, 1, 4, len(staying)]))):
+            series.append(asyncio.get_running_loop().create_task(self.replace(worker)))
+            await asyncio.sleep(self.rng.uniform(0.3, 0.7))
+        await asyncio.gather(*series)
+
+    async def replace(self, worker):
+        if worker.replacing:
+            return
+        worker.replacing, self.replaced, seconds = True, self.replaced + 1, self.rng.uniform(*DRAIN_SECONDS)
+        new = await self.add_worker(f"w-{worker.zone}-{WORKERS + self.replaced}", worker.zone)
+        while new.registered_at == math.inf:
+            await asyncio.sleep(0.1)
+        worker.leaves_at = time.monotonic() + seconds
+        # The announced time counts from when the store has accepted the entry.
+        while not await self.register(worker):
+            await asyncio.sleep(0.1)
+            worker.leaves_at = time.monotonic() + seconds
+        self.note(f"{worker.name} drains for {seconds:.1f} s with {len(worker.runs)} runs, {new.name} is its successor")
+        await asyncio.sleep(seconds + self.rng.choice([0.1, self.rng.uniform(0, 1)]))
+        self.note(f"{worker.name} leaves with {len(worker.runs)} runs")
+        self.left_in_roll += self.rolling
+        worker.leave()
+        await self.register(worker)
+
     async def restart(self, entry):
         # Several faults may end one process; only the first of them starts the next one.
         process, limit = entry.process, time.monotonic() + GRACE_SECONDS
@@ -279,11 +388,15 @@
 
     async def play(self):
         await self.setup()
+        watch = asyncio.get_running_loop().create_task(self.watch())
         await asyncio.sleep(3)
         self.end = time.monotonic() + self.args.seconds
-        await asyncio.gather(self.client(True), self.client(False), self.reader(), self.inject())
+        injections = [self.inject(planned=True)] + ([self.inject(planned=False)] if self.args.seed % 3 else [])
+        await asyncio.gather(self.client(True), self.client(False), self.reader(), *injections)
         await asyncio.gather(*self.fault_tasks)
         await asyncio.sleep(SETTLE_SECONDS)
+        if watch.done():
+            watch.result()  # raises what ended it
         self.account.conclude()
 
     def stop(self):
@@ -302,7 +415,7 @@
         if (await asyncio.wait({play}, timeout=args.seconds + LONGEST_REST))[0]:
             play.result()
             report(run)
-            code = 1 if run.account.breaches else 0 if run.account.starts and run.terms else 2
+            code = 1 if run.account.breaches or run.account.lost else 0 if run.account.starts and run.terms else 2
         else:
             print(f"seed {args.seed}: did not end within {LONGEST_REST} s after its {args.seconds:g} s; logs: {folder}")
     except Exception:
