--- a/tests/jobs/LongRecoveries.tests.cpp
+++ b/tests/jobs/LongRecoveries.tests.cpp
@@ -74,4 +74,23 @@
   CHECK_FALSE(recovering());
 }
 
+// Guards against two runs of a task: a late start of the predecessor may have
+// reached the next incarnation, which does not answer.
+TEST_CASE_FIXTURE(LostWorkers, "A recovery waits for the next incarnation of a "
+                               "worker at whose address another one answered") {
+  World_.crashWorker("w1");
+  World_.crashWorker("w0");
+  World_.worker("w0").DropsRequests_ = false;
+  World_.worker("w0").AddressTaken_ = true;
+  World_.startSuccessor();
+  World_.run(seconds(1));
+  World_.worker("w0").AddressTaken_ = false;
+  World_.restartWorker("w0");
+  World_.worker("w0").DropsRequests_ = true;
+  World_.run(LeaseWait);
+  CHECK(recovering());
+  World_.run(LongestLeaseWait - LeaseWait);
+  CHECK_FALSE(recovering());
+}
+
 } // namespace crocuslead::jobs::test
