--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -81,9 +81,14 @@
   std::vector<internal::UsedWorker> Out;
   for (const WorkerEntry *Worker : WorkerOrder_) {
     bool MayHoldLongestLease = now() < Worker->LongestLeaseUntil_;
-    Out.push_back({Worker->Info_.Id_, Worker->Info_.Address_,
-                   Worker->Info_.StartTimeMs_, MayHoldLongestLease,
-                   Worker->RunsAbandoned_,
+    // An entry without a start time stands for what follows an incarnation that
+    // is gone; the next term decides by that one's whether it has come.
+    int64_t StartTimeMs = Worker->Info_.StartTimeMs_;
+    auto Earlier = EarlierLeases_.find(Worker->Info_.Id_);
+    if (StartTimeMs == 0 && Earlier != EarlierLeases_.end())
+      StartTimeMs = Earlier->second.StartTimeMs_;
+    Out.push_back({Worker->Info_.Id_, Worker->Info_.Address_, StartTimeMs,
+                   MayHoldLongestLease, Worker->RunsAbandoned_,
                    !Worker->MayHoldLease_ && !MayHoldLongestLease,
                    recordedLeaseLeft(*Worker), Settings_.Term_});
   }
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -147,6 +147,8 @@
   bool FirstAnswer = !std::exchange(Worker.Polled_, true);
   if (FirstAnswer) {
     fencePredecessors(Worker);
+    if (Worker.Info_.StartTimeMs_ == 0)
+      expectEarlierLease(Worker);
     PlacementRequested_ = true;
   }
   bool Emptied = isEmptied(Worker, Report);
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -38,8 +38,7 @@
   Worker->NextPollAt_ = now();
   WorkerOrder_.push_back(Worker.get());
   ++FleetVersion_;
-  if (auto It = EarlierLeases_.find(Info.Id_); It != EarlierLeases_.end())
-    expectLongestLease(*Worker, It->second);
+  expectEarlierLease(*Worker);
   Worker->DrainTimeReadAt_ = now();
   restoreAbandonment(*Worker);
   startProbation(*Worker, "worker-found");
@@ -62,6 +61,20 @@
       std::max(Worker.LatestLeaseEnd_, Worker.LongestLeaseUntil_);
 }
 
+// The entry of an incarnation that is known to be gone shows no later one, and
+// a late request would give the end of its lease on its own clock.
+void Coordinator::Impl::expectEarlierLease(WorkerEntry &Worker) {
+  auto It = EarlierLeases_.find(Worker.Info_.Id_);
+  if (It == EarlierLeases_.end())
+    return;
+  const auto &[LastRequestAt, GoneStartTimeMs] = It->second;
+  bool ShowsLaterOne = GoneStartTimeMs == 0 || Worker.Polled_ ||
+                       (Worker.Info_.StartTimeMs_ != 0 &&
+                        Worker.Info_.StartTimeMs_ != GoneStartTimeMs);
+  if (ShowsLaterOne)
+    expectLongestLease(Worker, LastRequestAt);
+}
+
 void Coordinator::Impl::setWorkers(
     const std::map<std::string, WorkerInfo> &Workers) {
   for (const auto &[Id, Info] : Workers) {
@@ -92,7 +105,10 @@
       ++FleetVersion_;
     if (Info.DrainTimeLeft_ != Worker.Info_.DrainTimeLeft_)
       Worker.DrainTimeReadAt_ = now();
+    bool Identified = Worker.Info_.StartTimeMs_ == 0;
     Worker.Info_ = Info;
+    if (Identified)
+      expectEarlierLease(Worker);
     if (!Worker.Registered_) {
       Worker.Registered_ = true;
       Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
@@ -224,10 +240,11 @@
   bool Registered = Worker.Registered_;
   // A request of an earlier term may still be on its way to this worker's next
   // incarnation, also if the record says that this one holds no lease.
-  if (Worker.MayObeyPredecessor_ || !Worker.Polled_)
-    EarlierLeases_[Id] = now();
+  bool Unseen = !Worker.Polled_ && Info.StartTimeMs_ != 0;
+  if (Worker.MayObeyPredecessor_ || Unseen)
+    EarlierLeases_[Id] = {now(), Info.StartTimeMs_};
   else if (Worker.LastLeaseGrantAt_)
-    EarlierLeases_[Id] = *Worker.LastLeaseGrantAt_;
+    EarlierLeases_[Id] = {*Worker.LastLeaseGrantAt_, Info.StartTimeMs_};
   if (Loss == WorkerLoss::IncarnationEnded)
     PredecessorLeases_.fence(Id, now());
   rememberAbandonment(Worker);
