Keep a handover valid over terms that end before they are used

Cause: a coordinator takes a handover only from the term right before its own. An instance that is elected and stopped as planned before it has restored the jobs counts a term and leaves nothing, so the next one waited 6.2 s for three workers that had left and held back 125 jobs. A leadership that is won after the resignation did the same.

Until the jobs are restored a coordinator sends nothing to workers. One that resigns before adds its term to office/unused-terms in the same transaction; the next one looks for the handover, and the recorded rests of leases, of the last term that was used. Crashes void a handover as before.

With every term counted as used, as before, "Interrupted takeovers do not make the next one wait ..." and "A leadership that is won after the resignation ..." fail; both pass now. "A recorded lease end is used by the next term only" now says that the term between the two was used.

--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -79,6 +79,9 @@
   CoordinatorTimings Times_;
   //! Term of this coordinator; also its fencing token.
   uint64_t Term_ = 1;
+  //! The latest earlier term whose coordinator may have sent requests to
+  //! workers; 0 if there is none.
+  uint64_t PreviousTerm_ = 0;
   //! Maximum number of writes in one commit. A store transaction takes 32
   //! entries, of which the host uses three: two conditions and one write.
   std::size_t MaxCommitWrites_ = 29;
--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -90,6 +90,7 @@
   Alive_ = std::make_shared<int>(0);
   CoordinatorSettings Settings;
   Settings.Term_ = Term;
+  Settings.PreviousTerm_ = Election_->lastUsedTermBefore(Term);
   Settings.Times_ = Times_;
   Coordinator_ = std::make_unique<Coordinator>(
       Settings, Port_, Clock_, Metrics_,
@@ -118,10 +119,10 @@
     JobMirror_->reload();
 }
 
-std::vector<store::Put> CoordinatorHost::prepareHandover() {
+Resignation CoordinatorHost::prepareHandover() {
   if (!Restored_)
-    return {};
-  return {{JobKeys::handover(), Coordinator_->prepareHandover(), 0}};
+    return {LastRestoredTerm_ == Election_->term(), {}};
+  return {true, {{JobKeys::handover(), Coordinator_->prepareHandover(), 0}}};
 }
 
 void CoordinatorHost::tick() {
@@ -206,6 +207,7 @@
       Coordinator_->cancelJob(Parsed.Id_);
   }
   Restored_ = true;
+  LastRestoredTerm_ = Election_->term();
   Coordinator_->recover();
   base::logEvent(
       base::LogLevel::Info, "coordinator-restored",
--- a/src/jobs/CoordinatorHost.h
+++ b/src/jobs/CoordinatorHost.h
@@ -30,7 +30,7 @@
   void reloadJobs();
   //! Ends the work of the coordinator. Returns what the resignation has to
   //! record for the next term.
-  std::vector<store::Put> prepareHandover();
+  Resignation prepareHandover();
 
   //! The coordinator once it has been restored, null otherwise.
   Coordinator *active();
@@ -67,6 +67,9 @@
   base::TimePoint NextConfirmation_;
   base::TimePoint ConfirmationRetryAt_;
   bool Restored_ = false;
+  //! The last term in which a coordinator was restored here, and so may have
+  //! sent requests to workers.
+  uint64_t LastRestoredTerm_ = 0;
   //! Mod revision of the sequence key on which the next commit is conditional.
   int64_t SequenceRevision_ = 0;
   base::TimePoint RetryAt_;
--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -38,6 +38,24 @@
   return In.is_number_unsigned() ? In.get<uint64_t>() : 0;
 }
 
+struct TermRange {
+  uint64_t First_ = 0;
+  uint64_t Last_ = 0;
+};
+
+std::optional<TermRange> parseTermRange(const store::KeyValue *Key) {
+  if (Key == nullptr)
+    return std::nullopt;
+  json In = json::parse(Key->Value_, nullptr, false);
+  if (!In.is_array() || In.size() != 2 || !In[0].is_number_unsigned() ||
+      !In[1].is_number_unsigned())
+    return std::nullopt;
+  TermRange Out{In[0].get<uint64_t>(), In[1].get<uint64_t>()};
+  if (Out.First_ == 0 || Out.First_ > Out.Last_)
+    return std::nullopt;
+  return Out;
+}
+
 } // namespace
 
 Election::Election(store::KeyValueStore &Store, const base::Clock &Clock,
@@ -63,6 +81,21 @@
 
 std::string Election::termKey() const { return Settings_.KeyPrefix_ + "term"; }
 
+std::string Election::unusedTermsKey() const {
+  return Settings_.KeyPrefix_ + "unused-terms";
+}
+
+// A record that the watch has not brought yet makes a term count as used, which
+// is safe.
+uint64_t Election::lastUsedTermBefore(uint64_t Term) const {
+  auto Unused = parseTermRange(Keys_.find(unusedTermsKey()));
+  return (Unused && Unused->Last_ + 1 == Term ? Unused->First_ : Term) - 1;
+}
+
+store::Put Election::unusedTermsRecord(uint64_t Term) const {
+  return {unusedTermsKey(), json{lastUsedTermBefore(Term) + 1, Term}.dump(), 0};
+}
+
 base::Duration Election::timeSinceStoreContact() const {
   return Clock_.now() - LastStoreContact_;
 }
@@ -199,7 +232,8 @@
                const auto *Reply = std::get_if<store::TxnReply>(&Result);
                bool Won = Reply != nullptr && Reply->Succeeded_;
                if (Won && Resigned_)
-                 releaseLeaderKey(Reply->Revision_, {}, [] {});
+                 releaseLeaderKey(Reply->Revision_, {unusedTermsRecord(Term)},
+                                  [] {});
                else if (Won && Term_ == 0)
                  becomeLeader(Term, Reply->Revision_);
                else if (Term_ == 0)
@@ -262,16 +296,17 @@
   Keys_.reload();
 }
 
-void Election::resign(std::function<void()> Done,
-                      std::vector<store::Put> Records) {
+void Election::resign(std::function<void()> Done, Resignation Left) {
   Resigned_ = true;
   CampaignAt_.reset();
   if (Term_ == 0) {
     Done();
     return;
   }
+  if (!Left.TermUsed_)
+    Left.Records_.push_back(unusedTermsRecord(Term_));
   loseLeadership("resigned");
-  releaseLeaderKey(TermRevision_, std::move(Records), std::move(Done));
+  releaseLeaderKey(TermRevision_, std::move(Left.Records_), std::move(Done));
 }
 
 // Only while the term is the latest, so that no later leader's key is removed.
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -36,10 +36,19 @@
   base::Duration RenewInterval_ = std::chrono::milliseconds(500);
 };
 
+//! What a leader leaves behind when it resigns.
+struct Resignation {
+  //! The leader may have acted in its term: it has not resigned before its work
+  //! began.
+  bool TermUsed_ = true;
+  std::vector<store::Put> Records_;
+};
+
 //! Leader election through the store. One key, attached to the leader's store
 //! lease, names the leader; a second key counts the terms and persists. A
 //! leader whose key disappeared writes it again and remains leader in the same
-//! term, unless a later term has begun.
+//! term, unless a later term has begun. A third key names the last terms that
+//! ended unused, so that what an earlier term left behind still holds.
 class Election {
 public:
   struct Hooks {
@@ -56,15 +65,18 @@
   void tick();
   //! Reads the keys again; called after the process was paused.
   void reloadKeys();
-  //! Gives up leadership and does not campaign again. The store takes Records
-  //! together with the end of the leadership, or neither.
-  void resign(std::function<void()> Done, std::vector<store::Put> Records = {});
+  //! Gives up leadership and does not campaign again. The store takes the
+  //! records of Left together with the end of the leadership, or neither.
+  void resign(std::function<void()> Done, Resignation Left = {});
   //! Gives up leadership because a worker or a commit has seen a later term.
   void stepDown();
 
   std::optional<LeaderInfo> leader() const;
   bool isLeader() const { return Term_ != 0; }
   uint64_t term() const { return Term_; }
+  //! The latest term before Term whose leader may have acted; 0 if there is
+  //! none.
+  uint64_t lastUsedTermBefore(uint64_t Term) const;
   //! Key and mod revision on which every commit of this term is conditional.
   std::string termKey() const;
   int64_t termRevision() const { return TermRevision_; }
@@ -72,6 +84,8 @@
 
 private:
   std::string leaderKey() const;
+  std::string unusedTermsKey() const;
+  store::Put unusedTermsRecord(uint64_t Term) const;
   void keyChanged(const store::KeyValue &Value, bool Deleted);
   void evaluateKeys();
   void renewLease();
--- a/src/jobs/JobKeys.h
+++ b/src/jobs/JobKeys.h
@@ -6,7 +6,8 @@
 namespace crocuslead::jobs {
 
 //! Layout of the job keys in the store.
-//!   office/holder, office/term       coordinator election
+//!   office/holder, office/term,      coordinator election
+//!   office/unused-terms
 //!   jobs/ID/spec, jobs/ID/cancel     written by the instance that answers the
 //!                                    caller
 //!   state/progress/ID, state/workers written only by the coordinator
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -80,7 +80,7 @@
       expectLongestLease(Worker, now() + lastLeaseAfterTerm());
     // A term between the two may have run an earlier version, which does not
     // read the rest and grants leases all the same.
-    else if (Used.LeaseLeft_ && Used.LeaseLeftTerm_ + 1 == Settings_.Term_)
+    else if (Used.LeaseLeft_ && Used.LeaseLeftTerm_ == Settings_.PreviousTerm_)
       Worker.RecordedLeaseEnd_ = now() + *Used.LeaseLeft_;
     else if (Used.MayHoldLongestLease_)
       expectLongestLease(Worker, now());
@@ -105,9 +105,9 @@
   if (!Read)
     return;
   // A term between the two may have granted leases.
-  bool FromLastTerm = Read->Term_ + 1 == Settings_.Term_;
+  bool FromPreviousTerm = Read->Term_ == Settings_.PreviousTerm_;
   int64_t Bounded = 0;
-  if (FromLastTerm) {
+  if (FromPreviousTerm) {
     PredecessorResigned_ = Read->PredecessorsFenced_;
     for (internal::HandedOverWorker &Each : Read->Workers_) {
       auto It = Workers_.find(Each.Id_);
@@ -126,7 +126,8 @@
   base::logEvent(base::LogLevel::Info, "handover-read",
                  {{"term", Settings_.Term_},
                   {"from_term", Read->Term_},
-                  {"used", FromLastTerm},
+                  {"previous_term", Settings_.PreviousTerm_},
+                  {"used", FromPreviousTerm},
                   {"predecessors_fenced", Read->PredecessorsFenced_},
                   {"rows", static_cast<int64_t>(Read->Workers_.size())},
                   {"workers", Bounded}});
--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -123,6 +123,35 @@
   }
 }
 
+// Guards against a record that lets a term use what it must not.
+TEST_CASE("With a malformed record of unused terms every term counts as used") {
+  for (const char *Record :
+       {"", "x", "{}", "[]", "[2]", "[0,2]", "[3,2]", "[2,1]", "[-1,2]",
+        R"(["1","2"])", "[1.5,2]", "[1,2,3]", "[1,3]"}) {
+    CAPTURE(Record);
+    TestCluster Cluster;
+    Cluster.Store_.put(std::string(JobKeys::ElectionPrefix) + "unused-terms",
+                       Record);
+    TestInstance First(Cluster.World_, Cluster.Store_, "a");
+    Cluster.run(First, milliseconds(100));
+    CHECK(First.Election_.lastUsedTermBefore(3) == 2);
+  }
+}
+
+// Guards against two runs of a task: its later term would trust an earlier
+// handover, although leases were granted since.
+TEST_CASE("A term in which an instance was restored once stays a used one") {
+  TestCluster Cluster;
+  TestInstance First(Cluster.World_, Cluster.Store_, "a");
+  Cluster.run(First, seconds(2));
+  REQUIRE(First.Host_.active() != nullptr);
+  First.Election_.stepDown();
+  Cluster.Store_.run();
+  REQUIRE(First.Election_.term() == 1);
+  REQUIRE(First.Host_.active() == nullptr);
+  CHECK(First.Host_.prepareHandover().TermUsed_);
+}
+
 // Guards against a leader that has been stopped already: nobody leads until its
 // store lease has ended.
 TEST_CASE("An instance that resigns while its election is under way gives up "
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <stdexcept>
+#include <utility>
 
 namespace crocuslead::jobs::test {
 
@@ -189,6 +190,7 @@
   crashCoordinator();
   CoordinatorSettings Settings;
   Settings.Term_ = ++Term_;
+  Settings.PreviousTerm_ = std::exchange(LastUsedTerm_, Term_);
   ++Revision_;
   Settings.Times_ = Times_;
   Coordinator_ = std::make_unique<Coordinator>(
@@ -219,13 +221,25 @@
   Coordinator_->recover();
 }
 
-void JobWorld::handOver(base::Duration Time) {
+void JobWorld::passUnusedTerm(bool Resigned) {
+  crashCoordinator();
+  ++Term_;
+  ++Revision_;
+  if (!Resigned)
+    LastUsedTerm_ = Term_;
+}
+
+void JobWorld::resign(base::Duration Time) {
   if (Coordinator_) {
     std::string Record = Coordinator_->prepareHandover();
     if (!StoreDown_ && !isCutOff(Term_))
       schedule(Time / 2, [this, Record] { Stored_[HandoverKey] = Record; });
   }
   run(Time);
+}
+
+void JobWorld::handOver(base::Duration Time) {
+  resign(Time);
   startSuccessor();
 }
 
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -112,6 +112,11 @@
   //! Starts a coordinator in the next term, restored from the store. One that
   //! is cut off goes on in the former term.
   void startSuccessor();
+  //! A term that ends before its coordinator has read anything: by a crash, or
+  //! by a resignation that says so.
+  void passUnusedTerm(bool Resigned);
+  //! Stops the coordinator as planned and lets Time pass.
+  void resign(base::Duration Time);
   //! Stops the coordinator as planned. A successor starts after Time.
   void handOver(base::Duration Time);
   //! Cuts the coordinator and these workers off from the store, from the other
@@ -148,6 +153,8 @@
   std::map<std::string, std::string> Stored_;
   std::unique_ptr<Coordinator> Coordinator_;
   uint64_t Term_ = 0;
+  //! The last term whose coordinator may have sent requests to workers.
+  uint64_t LastUsedTerm_ = 0;
   //! Revision of the store, which jobs and elections change.
   int64_t Revision_ = 0;
   std::map<std::string, int64_t> JobRevisions_;
--- a/tests/jobs/RandomTakeovers.tests.cpp
+++ b/tests/jobs/RandomTakeovers.tests.cpp
@@ -59,10 +59,7 @@
   void actWider() {
     switch (World_.Random_.below(16)) {
     case 0:
-      // A term that ends before it has read anything.
-      World_.crashCoordinator();
-      ++World_.Term_;
-      ++World_.Revision_;
+      World_.passUnusedTerm(false);
       World_.run(milliseconds(World_.Random_.below(1'000)));
       World_.startSuccessor();
       break;
@@ -108,11 +105,25 @@
     case 7:
       World_.DelayedStartShare_ = World_.Random_.below(2) == 0 ? 0.1 : 0;
       break;
+    case 8:
+    case 9:
+      interruptTakeover();
+      break;
     default:
       break;
     }
   }
 
+  //! The instances that take over are stopped before they have read anything.
+  void interruptTakeover() {
+    World_.resign(milliseconds(20 + World_.Random_.below(400)));
+    for (uint64_t Terms = 1 + World_.Random_.below(3); Terms > 0; --Terms) {
+      World_.passUnusedTerm(World_.Random_.below(5) > 0);
+      World_.run(milliseconds(World_.Random_.below(1'000)));
+    }
+    World_.startSuccessor();
+  }
+
   void act() {
     switch (World_.Random_.below(14)) {
     case 0:
--- a/tests/jobs/Recovery.tests.cpp
+++ b/tests/jobs/Recovery.tests.cpp
@@ -42,6 +42,14 @@
       Instances_.back()->resign();
     Instances_.push_back(std::make_unique<TestInstance>(World_, Store_, Name));
   }
+  //! Stops an instance that has just been elected, before it has restored the
+  //! jobs.
+  void interruptTakeover() {
+    REQUIRE(within(PromptTakeover,
+                   [&] { return Instances_.back()->Election_.isLeader(); }));
+    REQUIRE(Instances_.back()->Host_.active() == nullptr);
+    next();
+  }
   void runFor(base::Duration Time) { run(*Instances_.back(), Time); }
   //! Runs until Condition holds; false if it does not within Time.
   template <typename Check> bool within(base::Duration Time, Check Condition) {
@@ -129,6 +137,55 @@
   CHECK(within(OneWait, [&] { return runsElsewhere("a.0.0.0", Left); }));
 }
 
+// Guards against a handover that is void because the instances that were
+// elected next were stopped as planned before they used it.
+TEST_CASE_FIXTURE(RollingCluster, "Interrupted takeovers do not make the next "
+                                  "one wait for leases that were handed over") {
+  submit("a", longRunning(chainJob(1, 1, WholeWorker)));
+  runFor(seconds(2));
+  std::string Left = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Left.empty());
+  submit("b", chainJob(30, 3, 4'000));
+  runFor(seconds(2));
+  leave(Left);
+  next();
+  interruptTakeover();
+  interruptTakeover();
+  int Before = startsOfJob("b");
+  CHECK(within(PromptTakeover, [&] { return startsOfJob("b") > Before; }));
+  CHECK(within(OneWait, [&] { return runsElsewhere("a.0.0.0", Left); }));
+}
+
+TEST_CASE_FIXTURE(RollingCluster,
+                  "A leadership that is won after the resignation leaves the "
+                  "handover of the term before valid") {
+  submit("a", longRunning(chainJob(1, 1, WholeWorker)));
+  runFor(seconds(2));
+  std::string Left = workerOf("a.0.0.0");
+  REQUIRE_FALSE(Left.empty());
+  submit("b", chainJob(30, 3, 4'000));
+  runFor(seconds(2));
+  leave(Left);
+  next();
+  std::string LeaderKey = std::string(JobKeys::ElectionPrefix) + "holder";
+  TestInstance &Second = *Instances_.back();
+  // Its transaction takes effect before the answer arrives.
+  auto Wins = [&] {
+    const store::KeyValue *Leader = Store_.find(LeaderKey);
+    return Leader != nullptr && Leader->Value_.find("i1") != std::string::npos;
+  };
+  while (!Wins()) {
+    Store_.run();
+    World_.run(milliseconds(10));
+    Second.tick();
+  }
+  REQUIRE_FALSE(Second.Election_.isLeader());
+  next();
+  Store_.run();
+  int Before = startsOfJob("b");
+  CHECK(within(PromptTakeover, [&] { return startsOfJob("b") > Before; }));
+}
+
 TEST_CASE_FIXTURE(RollingCluster,
                   "A wait for a lease is not begun anew by each planned "
                   "takeover") {
@@ -226,7 +283,7 @@
   REQUIRE(World_.Coordinator_->stats().Runs_ == 1);
   Worker.DropsRequests_ = Worker.DropsReplies_ = true;
   World_.Stored_[Coordinator::UsedWorkersKey] = Record;
-  ++World_.Term_;
+  World_.passUnusedTerm(false);
   World_.startSuccessor();
   World_.run(seconds(10));
   CHECK(World_.startsOf("a.0.0.0") == 2);
--- a/tests/jobs/TestCluster.h
+++ b/tests/jobs/TestCluster.h
@@ -133,8 +133,7 @@
   }
   //! Resigns as a process does that is stopped as planned.
   void resign() {
-    std::vector<store::Put> Records = Host_.prepareHandover();
-    Election_.resign([] {}, std::move(Records));
+    Election_.resign([] {}, Host_.prepareHandover());
   }
 
   FixedFleet Fleet_;
