Start long-running tasks first that have lost their run longest

Cause: long-running steps came in the order of their jobs' age. On a full fleet the tasks of the oldest jobs started again within a second each time a worker left, and those of younger jobs waited for as long as workers left.

A step of which a long-running task waits that has run before now comes first by how long it has waited; those that never ran follow, by age as before.

"The long-running task that has lost its run longest starts first" fails with the order by age. The passes move to PlacementPass.cpp.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -265,13 +265,21 @@
   static bool mustIsolate(const TaskEntry &Task);
   bool isIsolatingWorker(const WorkerEntry &Worker) const;
 
-  // Placement.cpp: choice of workers for ready steps.
+  // PlacementPass.cpp: the order in which ready steps get workers.
   enum class Urgency : uint8_t { Serving, Useful, Overdue };
   void placeReadySteps();
   static Urgency urgencyOf(const StepEntry &Step, base::TimePoint Now);
   //! Unplaceable is what found no worker so far in this placement pass.
+  void placeServingSteps(internal::UnplaceableSteps &Unplaceable);
   void placeSteps(Urgency Level, base::TimePoint Now,
                   internal::UnplaceableSteps &Unplaceable);
+  bool tryToPlace(StepEntry &Step, internal::UnplaceableSteps &Unplaceable,
+                  int &PlacedSteps);
+  static bool hasPendingTasks(const StepEntry &Step);
+  //! A long-running task of it that ran before waits.
+  static bool hasLostRun(const StepEntry &Step);
+
+  // Placement.cpp: choice of workers for a step.
   internal::PlacementNeeds placementNeeds(const StepEntry &Step) const;
   bool isUnsatisfiable(StepEntry &Step) const;
   bool placeStep(StepEntry &Step);
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -29,9 +29,6 @@
 // Tasks that have waited for this long also start on workers on probation: on a
 // full fleet, a longer wait would cost more than a run on a lost worker.
 constexpr auto ProbationPatience = std::chrono::milliseconds(300);
-// Limits how many steps of one urgency get starts in a pass, so that a long
-// queue does not block the event loop.
-constexpr int MaxStepsPerPass = 200;
 
 } // namespace
 
@@ -328,68 +325,4 @@
   return Step.Unsatisfiable_;
 }
 
-void Coordinator::Impl::placeReadySteps() {
-  PlacementRequested_ = false;
-  if (Superseded_ || !mayStartRuns())
-    return;
-  renewReservations();
-  base::TimePoint Now = now();
-  internal::UnplaceableSteps Unplaceable;
-  for (Urgency Level : {Urgency::Serving, Urgency::Useful, Urgency::Overdue})
-    placeSteps(Level, Now, Unplaceable);
-  if (!maySendStart() && !ReadySteps_.empty()) {
-    ++WithheldPasses_;
-    Congestion_.recordWithheld();
-  }
-}
-
-// Long-running tasks come first because their service is degraded whenever they
-// do not run. Jobs whose result will be of little use come last: otherwise, on
-// a full fleet, they would make the next jobs overdue as well.
-Coordinator::Impl::Urgency Coordinator::Impl::urgencyOf(const StepEntry &Step,
-                                                        base::TimePoint Now) {
-  if (Step.Spec_->LongRunning_)
-    return Urgency::Serving;
-  base::TimePoint End = Now + Step.Spec_->EstimatedDuration_ -
-                        dueDelay(*Step.Job_, Step.Occurrence_);
-  return End > Step.Job_->OverdueAt_ ? Urgency::Overdue : Urgency::Useful;
-}
-
-void Coordinator::Impl::placeSteps(Urgency Level, base::TimePoint Now,
-                                   internal::UnplaceableSteps &Unplaceable) {
-  int PlacedSteps = 0;
-  for (auto It = ReadySteps_.begin(); It != ReadySteps_.end();) {
-    StepEntry &Step = *It->second;
-    if (urgencyOf(Step, Now) != Level || isUnsatisfiable(Step) ||
-        Unplaceable.covers(placementNeeds(Step))) {
-      ++It;
-      continue;
-    }
-    if (!maySendStart())
-      return;
-    if (placeStep(Step))
-      ++PlacedSteps;
-    if (!maySendStart())
-      return;
-    bool HasPendingTasks = std::any_of(
-        Step.Tasks_.begin(), Step.Tasks_.end(), [](const TaskEntry &Task) {
-          return !Task.Done_ && Task.Runs_.empty();
-        });
-    bool LacksWorker = std::any_of(
-        Step.Tasks_.begin(), Step.Tasks_.end(), [&](const TaskEntry &Task) {
-          return isStartable(Step, Task) && !mustIsolate(Task);
-        });
-    if (LacksWorker) {
-      Unplaceable.add(placementNeeds(Step));
-      if (ReservingStep_ == nullptr && isStarving(Step))
-        reserveWorkers(Step);
-    }
-    It = HasPendingTasks ? std::next(It) : ReadySteps_.erase(It);
-    if (PlacedSteps >= MaxStepsPerPass) {
-      PlacementRequested_ = true;
-      return;
-    }
-  }
-}
-
 } // namespace crocuslead::jobs
--- a/tests/jobs/LargeTasks.tests.cpp
+++ b/tests/jobs/LargeTasks.tests.cpp
@@ -115,4 +115,28 @@
   CHECK(World_.state("large") == JobState::Completed);
 }
 
+// Guards against services that stay degraded for as long as older ones lose
+// tasks as well.
+TEST_CASE("The long-running task that has lost its run longest starts first") {
+  JobWorld World;
+  JobSpec Spec = chainJob(1, 1, 16'000);
+  Spec.Steps_[0].LongRunning_ = true;
+  World.startSuccessor();
+  for (const char *Id : {"older", "younger"}) {
+    World.addWorker(std::string("w-") + Id);
+    World.submit(Id, Spec);
+    World.run(seconds(3));
+  }
+  for (const char *Id : {"younger", "older"}) {
+    REQUIRE(World.startsOf(std::string(Id) + ".0.0.0") == 1);
+    World.worker(std::string("w-") + Id).Info_.Draining_ = true;
+    World.publishWorkers();
+    World.run(seconds(2));
+  }
+  World.addWorker("w-next");
+  World.run(seconds(1));
+  CHECK(World.startsOf("younger.0.0.0") == 2);
+  CHECK(World.startsOf("older.0.0.0") == 1);
+}
+
 } // namespace crocuslead::jobs::test
