Reserve workers for long-running tasks that lost their run

Cause: a step that has runs got no reservation, as it gets on. A long-running step with one task missing therefore waited for a gap that smaller tasks took each time, and steps behind one that found no worker never got to reserve.

Steps with such a task now reserve workers as well: up to four steps at a time, a 32nd of the workers in all, besides the one reservation of other steps. Reservations are chosen anew each 100 ms instead of in each pass, so that four cost no more than one did.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -311,9 +311,13 @@
 
   // Reservations.cpp: reservation of workers for a starving step, with
   // backfill.
-  void clearReservations();
+  //! Returns the steps that held them.
+  std::vector<const StepEntry *> clearReservations();
   void renewReservations();
+  bool isReserving(const StepEntry &Step) const;
   bool isStarving(const StepEntry &Step) const;
+  std::size_t reservableWorkers(const StepEntry &Step) const;
+  void reserveIfStarving(const StepEntry &Step);
   void reserveWorkers(const StepEntry &Step);
   std::optional<base::TimePoint> expectedFit(const StepEntry &Step,
                                              const WorkerEntry &Worker) const;
@@ -463,8 +467,10 @@
   std::size_t UnseenWorkerCount_ = 0;
   std::optional<std::size_t> UnseenJobCount_;
   base::TimePoint NextRecoveryReportAt_;
-  //! The one step for which workers are reserved; null for none.
-  const StepEntry *ReservingStep_ = nullptr;
+  //! The steps for which workers are reserved: long-running ones, and at most
+  //! one other.
+  std::vector<const StepEntry *> ReservingSteps_;
+  base::TimePoint NextReservationAt_;
   //! Starts of tasks with reserved CPU in this term.
   uint64_t ReservedStarts_ = 0;
   base::TimePoint NextCheckAt_;
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -275,7 +275,8 @@
   Job.FinishedWallTime_ = Clock_.wallNow();
   Job.FinishedAt_ = now();
   FinishedJobs_.push_back(Job.Id_);
-  if (ReservingStep_ != nullptr && ReservingStep_->Job_ == &Job)
+  if (std::any_of(ReservingSteps_.begin(), ReservingSteps_.end(),
+                  [&](const StepEntry *Step) { return Step->Job_ == &Job; }))
     clearReservations();
   for (auto &[Number, Occurrence] : Job.Occurrences_)
     for (StepEntry &Step : Occurrence.Steps_) {
--- a/src/jobs/internal/PlacementPass.cpp
+++ b/src/jobs/internal/PlacementPass.cpp
@@ -96,12 +96,18 @@
                                    int &PlacedSteps) {
   if (isUnsatisfiable(Step))
     return true;
-  if (Unplaceable.covers(placementNeeds(Step)))
+  if (Unplaceable.covers(placementNeeds(Step))) {
+    if (hasLostRun(Step))
+      reserveIfStarving(Step);
     return true;
+  }
   if (!maySendStart())
     return false;
-  if (placeStep(Step))
+  if (placeStep(Step)) {
     ++PlacedSteps;
+    if (isReserving(Step))
+      NextReservationAt_ = now();
+  }
   if (!maySendStart())
     return false;
   bool LacksWorker = std::any_of(
@@ -110,8 +116,7 @@
       });
   if (LacksWorker) {
     Unplaceable.add(placementNeeds(Step));
-    if (ReservingStep_ == nullptr && isStarving(Step))
-      reserveWorkers(Step);
+    reserveIfStarving(Step);
   }
   if (PlacedSteps < MaxStepsPerPass)
     return true;
--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -1,16 +1,23 @@
 #include "jobs/internal/Impl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuslead::jobs {
 
 namespace {
 
-// A late step of which no task has run or started for this long is starving.
+// A late step whose tasks have waited for this long is starving.
 constexpr auto StarvationTime = std::chrono::seconds(1);
 // At most this part of the workers is reserved: while capacity is collected on
 // a worker, part of it is idle.
 constexpr std::size_t ReservedWorkersDivisor = 128;
+// The same for all long-running steps together.
+constexpr std::size_t LongRunningWorkersDivisor = 32;
+// A reservation visits the runs of all workers.
+constexpr std::size_t MaxReservingSteps = 4;
+// How often the workers are chosen anew, unless a step got one of them.
+constexpr auto RenewalInterval = std::chrono::milliseconds(100);
 // A gang needs all its places at the same time; one that needs more than this
 // part of the workers gets no reservation.
 constexpr std::size_t GangWorkersDivisor = 8;
@@ -31,34 +38,64 @@
 
 } // namespace
 
-void Coordinator::Impl::clearReservations() {
-  if (ReservingStep_ == nullptr)
-    return;
-  for (WorkerEntry *Worker : WorkerOrder_)
-    Worker->Reservation_.reset();
-  ReservingStep_ = nullptr;
+std::vector<const internal::StepEntry *>
+Coordinator::Impl::clearReservations() {
+  if (!ReservingSteps_.empty())
+    for (WorkerEntry *Worker : WorkerOrder_)
+      Worker->Reservation_.reset();
+  return std::exchange(ReservingSteps_, {});
 }
 
-// The step that holds reservations keeps them until it starts: they have to
-// last while steps that go before it take their turns.
+// A step that holds reservations keeps them until it starts: they have to last
+// while steps that go before it take their turns.
 void Coordinator::Impl::renewReservations() {
-  const StepEntry *Step = ReservingStep_;
-  clearReservations();
-  if (Step != nullptr && isStarving(*Step))
-    reserveWorkers(*Step);
+  if (now() < NextReservationAt_)
+    return;
+  NextReservationAt_ = now() + RenewalInterval;
+  auto Steps = clearReservations();
+  std::stable_partition(Steps.begin(), Steps.end(), [](const StepEntry *Step) {
+    return Step->Spec_->LongRunning_;
+  });
+  for (const StepEntry *Step : Steps)
+    if (isStarving(*Step))
+      reserveWorkers(*Step);
+}
+
+bool Coordinator::Impl::isReserving(const StepEntry &Step) const {
+  return std::find(ReservingSteps_.begin(), ReservingSteps_.end(), &Step) !=
+         ReservingSteps_.end();
 }
 
 // A step on time may still find a gap; reserving for it would only idle
-// workers.
+// workers. One that has runs gets on, unless a long-running task of it has lost
+// its run: its service is degraded until it runs again.
 bool Coordinator::Impl::isStarving(const StepEntry &Step) const {
   bool HasRuns =
       std::any_of(Step.Tasks_.begin(), Step.Tasks_.end(),
                   [](const TaskEntry &Task) { return !Task.Runs_.empty(); });
-  return !Step.Spec_->BestEffort_ && !HasRuns &&
+  return !Step.Spec_->BestEffort_ && (!HasRuns || hasLostRun(Step)) &&
          now() > readyKey(Step).CompletionTarget_ &&
          longestWait(Step) >= StarvationTime;
 }
 
+// How many workers may be reserved for the step. Of the steps that end one at a
+// time gets any.
+std::size_t Coordinator::Impl::reservableWorkers(const StepEntry &Step) const {
+  bool LongRunning = Step.Spec_->LongRunning_;
+  std::size_t Divisor = LongRunning         ? LongRunningWorkersDivisor
+                        : Step.Spec_->Gang_ ? GangWorkersDivisor
+                                            : ReservedWorkersDivisor;
+  std::size_t Limit = std::max<std::size_t>(1, WorkerOrder_.size() / Divisor);
+  std::size_t Reserved = 0;
+  for (const WorkerEntry *Worker : WorkerOrder_)
+    if (Worker->Reservation_ &&
+        Worker->Reservation_->Step_->Spec_->LongRunning_ == LongRunning)
+      ++Reserved;
+  if (!LongRunning && Reserved > 0)
+    return 0;
+  return Limit - std::min(Limit, Reserved);
+}
+
 // Reservations keep smaller tasks out, which would take each gap. Tasks that
 // are at least as large wait for the same gaps, in the order of the queue.
 // Backfill: smaller tasks still start if they end before the step can start
@@ -107,6 +144,12 @@
   return std::nullopt;
 }
 
+void Coordinator::Impl::reserveIfStarving(const StepEntry &Step) {
+  if (ReservingSteps_.size() < MaxReservingSteps && !isReserving(Step) &&
+      isStarving(Step))
+    reserveWorkers(Step);
+}
+
 void Coordinator::Impl::reserveWorkers(const StepEntry &Step) {
   const QueueConfig *Queue = queueConfig(*Step.Job_);
   if (Queue == nullptr)
@@ -114,15 +157,14 @@
   auto Wanted = static_cast<std::size_t>(std::count_if(
       Step.Tasks_.begin(), Step.Tasks_.end(),
       [&](const TaskEntry &Task) { return isStartable(Step, Task); }));
-  std::size_t Divisor =
-      Step.Spec_->Gang_ ? GangWorkersDivisor : ReservedWorkersDivisor;
-  std::size_t Limit = std::max<std::size_t>(1, WorkerOrder_.size() / Divisor);
-  if (Step.Spec_->Gang_ && Wanted > Limit)
+  std::size_t Limit = reservableWorkers(Step);
+  if (Limit == 0 || (Step.Spec_->Gang_ && Wanted > Limit))
     return;
   std::vector<std::pair<base::TimePoint, WorkerEntry *>> Candidates;
   for (WorkerEntry *Worker : WorkerOrder_) {
-    if (Worker->Info_.Service_ != Queue->Service_ || !acceptsStarts(*Worker) ||
-        !hasRequiredLabel(*Step.Spec_, *Worker) || isAtStepLimit(Step, *Worker))
+    if (Worker->Info_.Service_ != Queue->Service_ || Worker->Reservation_ ||
+        !acceptsStarts(*Worker) || !hasRequiredLabel(*Step.Spec_, *Worker) ||
+        isAtStepLimit(Step, *Worker))
       continue;
     if (auto ReadyAt = expectedFit(Step, *Worker))
       Candidates.emplace_back(*ReadyAt, Worker);
@@ -136,7 +178,7 @@
       [](const auto &A, const auto &B) { return A.first < B.first; });
   for (auto It = Candidates.begin(); It != End; ++It)
     It->second->Reservation_ = internal::Reservation{&Step, It->first};
-  ReservingStep_ = &Step;
+  ReservingSteps_.push_back(&Step);
 }
 
 } // namespace crocuslead::jobs
--- a/tests/jobs/LargeTasks.tests.cpp
+++ b/tests/jobs/LargeTasks.tests.cpp
@@ -11,6 +11,8 @@
 
 //! Three times the target of a job of one step; later it is overdue.
 constexpr auto OverdueTime = milliseconds(4'500);
+//! A long-running task may be without a run for this long.
+constexpr auto LongestLostRun = seconds(9);
 
 //! Sixteen workers that a stream of short small tasks keeps full.
 struct BusyFleet {
@@ -20,11 +22,11 @@
     for (int I = 0; I < Workers; ++I)
       World_.addWorker("w" + std::to_string(I));
     World_.RunPlan_ = [this](const TaskId &Task) {
-      auto Declared = World_.Jobs_.at(Task.Job_)
-                          .Spec_.Steps_[Task.Position_.Step_]
-                          .EstimatedDuration_;
+      const StepSpec &Step =
+          World_.Jobs_.at(Task.Job_).Spec_.Steps_[Task.Position_.Step_];
+      double Factor = Step.LongRunning_ ? 0 : 0.8 + 0.4 * World_.Random_.unit();
       return std::make_pair(std::chrono::duration_cast<base::Duration>(
-                                Declared * (0.8 + 0.4 * World_.Random_.unit())),
+                                Step.EstimatedDuration_ * Factor),
                             false);
     };
     World_.startSuccessor();
@@ -40,8 +42,64 @@
   }
 };
 
+//! A busy fleet with long-running jobs, of which several lose a task at once.
+struct BusyFleetWithServices : BusyFleet {
+  static constexpr int Jobs = 4;
+  static constexpr uint32_t Tasks = 2;
+
+  BusyFleetWithServices() {
+    for (int I = 0; I < Jobs; ++I) {
+      JobSpec Spec = chainJob(1, Tasks, 12'000);
+      Spec.Steps_[0].LongRunning_ = true;
+      World_.submit("serving" + std::to_string(I), Spec);
+    }
+    World_.run(milliseconds(500));
+    run(seconds(4));
+  }
+  std::string task(int Job) const {
+    return "serving" + std::to_string(Job) + ".0.0.0";
+  }
+  //! The workers of the first task of each job are about to leave.
+  void drainWorkers() {
+    for (int I = 0; I < Jobs; ++I) {
+      REQUIRE(World_.Oracle_.RunningOn_[task(I)].size() == 1);
+      FakeWorker &Worker =
+          World_.worker(*World_.Oracle_.RunningOn_[task(I)].begin());
+      Worker.Info_.Draining_ = true;
+      Worker.Info_.DrainTimeLeft_ = LongestLostRun;
+    }
+    World_.publishWorkers();
+  }
+  void checkRuns() {
+    for (int I = 0; I < Jobs; ++I) {
+      CHECK_MESSAGE(World_.startsOf(task(I)) == 2, task(I));
+      CHECK_MESSAGE(World_.Oracle_.RunningOn_[task(I)].size() == 1, task(I));
+    }
+  }
+};
+
 } // namespace
 
+// Guards against services that stay degraded: a step of which other tasks run
+// got no reservation.
+TEST_CASE_FIXTURE(BusyFleetWithServices,
+                  "Long-running tasks that lost their runs do not starve while "
+                  "smaller tasks take each gap") {
+  drainWorkers();
+  run(LongestLostRun);
+  checkRuns();
+}
+
+TEST_CASE_FIXTURE(BusyFleetWithServices,
+                  "Long-running tasks that lost their runs do not starve when "
+                  "the coordinator was replaced") {
+  drainWorkers();
+  run(milliseconds(300));
+  World_.startSuccessor();
+  run(LongestLostRun);
+  checkRuns();
+}
+
 TEST_CASE_FIXTURE(
     BusyFleet, "Large tasks do not starve while smaller tasks take each gap") {
   run(seconds(3));
