Place the step for which a worker is reserved on that worker

Cause: a large step reserves the only worker; an earlier, smaller step is kept from it, and as it found no worker the larger one was skipped in the same pass. Both stayed where they were in each pass.

A step that holds reservations is now tried whatever other steps found.

--- a/src/jobs/internal/PlacementPass.cpp
+++ b/src/jobs/internal/PlacementPass.cpp
@@ -96,7 +96,8 @@
                                    int &PlacedSteps) {
   if (isUnsatisfiable(Step))
     return true;
-  if (Unplaceable.covers(placementNeeds(Step))) {
+  // Steps that were kept from the workers reserved for this one are no sign.
+  if (!isReserving(Step) && Unplaceable.covers(placementNeeds(Step))) {
     if (hasLostRun(Step))
       reserveIfStarving(Step);
     return true;
--- a/tests/jobs/LargeTasks.tests.cpp
+++ b/tests/jobs/LargeTasks.tests.cpp
@@ -173,6 +173,30 @@
   CHECK(World_.state("large") == JobState::Completed);
 }
 
+// Guards against a step and the reservation of a later, larger one that keep
+// each other from an idle worker for good.
+TEST_CASE("Jobs go on after the only worker of their service was slow") {
+  constexpr int Jobs = 32;
+  JobWorld World;
+  World.addWorker("w0");
+  World.startSuccessor();
+  base::TimePoint SlowFrom = World.now() + seconds(8);
+  World.RunPlan_ = [&](const TaskId &) {
+    bool Slow = World.now() >= SlowFrom && World.now() < SlowFrom + seconds(7);
+    return std::make_pair(base::Duration(milliseconds(Slow ? 3'250 : 500)),
+                          false);
+  };
+  for (int I = 0; I < Jobs; ++I) {
+    World.submit("j" + std::to_string(I),
+                 I % 3 == 2 ? chainJob(1, 1, 16'000) : chainJob(3, 1, 8'000));
+    World.run(milliseconds(800));
+  }
+  World.run(seconds(40));
+  for (int I = 0; I < Jobs; ++I)
+    CHECK_MESSAGE(World.state("j" + std::to_string(I)) == JobState::Completed,
+                  I);
+}
+
 // Guards against services that stay degraded for as long as older ones lose
 // tasks as well.
 TEST_CASE("The long-running task that has lost its run longest starts first") {
