Let steps with lost runs and other steps reserve apart from each other

Read afresh, the reservations for long-running tasks had two faults: four steps that hold them kept every other starving step from its one reservation, and a long-running gang or a job that never ran fell under their limits. The limits now go by whether a step has lost runs, and a gang keeps its own.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -316,6 +316,7 @@
   void renewReservations();
   bool isReserving(const StepEntry &Step) const;
   bool isStarving(const StepEntry &Step) const;
+  bool mayReserve(const StepEntry &Step) const;
   std::size_t reservableWorkers(const StepEntry &Step) const;
   void reserveIfStarving(const StepEntry &Step);
   void reserveWorkers(const StepEntry &Step);
@@ -467,7 +468,7 @@
   std::size_t UnseenWorkerCount_ = 0;
   std::optional<std::size_t> UnseenJobCount_;
   base::TimePoint NextRecoveryReportAt_;
-  //! The steps for which workers are reserved: long-running ones, and at most
+  //! The steps for which workers are reserved: some with lost runs, and at most
   //! one other.
   std::vector<const StepEntry *> ReservingSteps_;
   base::TimePoint NextReservationAt_;
--- a/src/jobs/internal/PlacementPass.cpp
+++ b/src/jobs/internal/PlacementPass.cpp
@@ -1,7 +1,7 @@
 #include "jobs/internal/Impl.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 // The order in which ready steps get workers.
 
@@ -49,20 +49,19 @@
     internal::UnplaceableSteps &Unplaceable) {
   struct ServingStep {
     StepEntry *Step_;
+    int Priority_;
     base::Duration WithoutRun_;
   };
   std::vector<ServingStep> Steps;
   for (const auto &[Key, Step] : ReadySteps_)
     if (Step->Spec_->LongRunning_)
       Steps.push_back(
-          {Step, hasLostRun(*Step) ? longestWait(*Step) : base::Duration{}});
-  auto Priority = [this](const ServingStep &Each) {
-    return readyKey(*Each.Step_).Priority_;
-  };
+          {Step, Key.Priority_,
+           hasLostRun(*Step) ? longestWait(*Step) : base::Duration{}});
   std::stable_sort(Steps.begin(), Steps.end(),
-                   [&](const ServingStep &A, const ServingStep &B) {
-                     return std::make_pair(Priority(A), -A.WithoutRun_) <
-                            std::make_pair(Priority(B), -B.WithoutRun_);
+                   [](const ServingStep &A, const ServingStep &B) {
+                     return std::tie(A.Priority_, B.WithoutRun_) <
+                            std::tie(B.Priority_, A.WithoutRun_);
                    });
   int PlacedSteps = 0;
   for (const ServingStep &Each : Steps) {
--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -12,10 +12,10 @@
 // At most this part of the workers is reserved: while capacity is collected on
 // a worker, part of it is idle.
 constexpr std::size_t ReservedWorkersDivisor = 128;
-// The same for all long-running steps together.
-constexpr std::size_t LongRunningWorkersDivisor = 32;
-// A reservation visits the runs of all workers.
-constexpr std::size_t MaxReservingSteps = 4;
+// The same for all steps with lost runs together.
+constexpr std::size_t LostRunWorkersDivisor = 32;
+// Each of these steps visits the runs of all workers.
+constexpr std::ptrdiff_t MaxReservingLostRuns = 4;
 // How often the workers are chosen anew, unless a step got one of them.
 constexpr auto RenewalInterval = std::chrono::milliseconds(100);
 // A gang needs all its places at the same time; one that needs more than this
@@ -54,11 +54,10 @@
   NextReservationAt_ = now() + RenewalInterval;
   auto Steps = clearReservations();
   std::stable_partition(Steps.begin(), Steps.end(), [](const StepEntry *Step) {
-    return Step->Spec_->LongRunning_;
+    return hasLostRun(*Step);
   });
   for (const StepEntry *Step : Steps)
-    if (isStarving(*Step))
-      reserveWorkers(*Step);
+    reserveIfStarving(*Step);
 }
 
 bool Coordinator::Impl::isReserving(const StepEntry &Step) const {
@@ -78,21 +77,26 @@
          longestWait(Step) >= StarvationTime;
 }
 
-// How many workers may be reserved for the step. Of the steps that end one at a
-// time gets any.
+// Steps with lost runs have reservations of their own.
+bool Coordinator::Impl::mayReserve(const StepEntry &Step) const {
+  bool LostRun = hasLostRun(Step);
+  auto Reserving = std::count_if(
+      ReservingSteps_.begin(), ReservingSteps_.end(),
+      [&](const StepEntry *Each) { return hasLostRun(*Each) == LostRun; });
+  return Reserving < (LostRun ? MaxReservingLostRuns : 1);
+}
+
 std::size_t Coordinator::Impl::reservableWorkers(const StepEntry &Step) const {
-  bool LongRunning = Step.Spec_->LongRunning_;
-  std::size_t Divisor = LongRunning         ? LongRunningWorkersDivisor
-                        : Step.Spec_->Gang_ ? GangWorkersDivisor
-                                            : ReservedWorkersDivisor;
+  bool LostRun = hasLostRun(Step);
+  std::size_t Divisor = Step.Spec_->Gang_ ? GangWorkersDivisor
+                        : LostRun         ? LostRunWorkersDivisor
+                                          : ReservedWorkersDivisor;
   std::size_t Limit = std::max<std::size_t>(1, WorkerOrder_.size() / Divisor);
-  std::size_t Reserved = 0;
-  for (const WorkerEntry *Worker : WorkerOrder_)
-    if (Worker->Reservation_ &&
-        Worker->Reservation_->Step_->Spec_->LongRunning_ == LongRunning)
-      ++Reserved;
-  if (!LongRunning && Reserved > 0)
-    return 0;
+  auto Reserved = static_cast<std::size_t>(std::count_if(
+      WorkerOrder_.begin(), WorkerOrder_.end(), [&](const WorkerEntry *Worker) {
+        return Worker->Reservation_ &&
+               hasLostRun(*Worker->Reservation_->Step_) == LostRun;
+      }));
   return Limit - std::min(Limit, Reserved);
 }
 
@@ -145,8 +149,7 @@
 }
 
 void Coordinator::Impl::reserveIfStarving(const StepEntry &Step) {
-  if (ReservingSteps_.size() < MaxReservingSteps && !isReserving(Step) &&
-      isStarving(Step))
+  if (!isReserving(Step) && mayReserve(Step) && isStarving(Step))
     reserveWorkers(Step);
 }
 
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -226,8 +226,8 @@
   //! capacity and labels are valid.
   bool InfoConfirmed_ = false;
   //! The registry's entry, if it names an earlier start than that of this
-  //! incarnation: it lags behind, or a later incarnation started with an earlier
-  //! time of day.
+  //! incarnation: it lags behind, or a later incarnation started with an
+  //! earlier time of day.
   std::optional<WorkerInfo> EarlierEntry_;
   //! It was polled in this term, so it knows this term's fencing token.
   bool Polled_ = false;
