Bound how often steps look for workers to reserve

Steps with lost runs that found no worker, or whose job had not recovered yet, visited the runs of all workers in each pass: with many of them on a large fleet that is work of every 20 ms. A step for which no worker could be reserved now tries again after 200 ms, and one that has nothing to start or no worker left under the limit visits none.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -312,14 +312,14 @@
   // Reservations.cpp: reservation of workers for a starving step, with
   // backfill.
   //! Returns the steps that held them.
-  std::vector<const StepEntry *> clearReservations();
+  std::vector<StepEntry *> clearReservations();
   void renewReservations();
   bool isReserving(const StepEntry &Step) const;
   bool isStarving(const StepEntry &Step) const;
   bool mayReserve(const StepEntry &Step) const;
   std::size_t reservableWorkers(const StepEntry &Step) const;
-  void reserveIfStarving(const StepEntry &Step);
-  void reserveWorkers(const StepEntry &Step);
+  void reserveIfStarving(StepEntry &Step);
+  bool reserveWorkers(const StepEntry &Step);
   std::optional<base::TimePoint> expectedFit(const StepEntry &Step,
                                              const WorkerEntry &Worker) const;
   bool isHeldForOther(const StepEntry &Step, const WorkerEntry &Worker) const;
@@ -470,8 +470,8 @@
   base::TimePoint NextRecoveryReportAt_;
   //! The steps for which workers are reserved: some with lost runs, and at most
   //! one other.
-  std::vector<const StepEntry *> ReservingSteps_;
-  base::TimePoint NextReservationAt_;
+  std::vector<StepEntry *> ReservingSteps_;
+  base::TimePoint NextRenewalAt_;
   //! Starts of tasks with reserved CPU in this term.
   uint64_t ReservedStarts_ = 0;
   base::TimePoint NextCheckAt_;
--- a/src/jobs/internal/PlacementPass.cpp
+++ b/src/jobs/internal/PlacementPass.cpp
@@ -106,7 +106,7 @@
   if (placeStep(Step)) {
     ++PlacedSteps;
     if (isReserving(Step))
-      NextReservationAt_ = now();
+      NextRenewalAt_ = now();
   }
   if (!maySendStart())
     return false;
--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -18,6 +18,8 @@
 constexpr std::ptrdiff_t MaxReservingLostRuns = 4;
 // How often the workers are chosen anew, unless a step got one of them.
 constexpr auto RenewalInterval = std::chrono::milliseconds(100);
+// A step for which no worker could be reserved tries again after this time.
+constexpr auto ReservationRetryDelay = std::chrono::milliseconds(200);
 // A gang needs all its places at the same time; one that needs more than this
 // part of the workers gets no reservation.
 constexpr std::size_t GangWorkersDivisor = 8;
@@ -38,8 +40,7 @@
 
 } // namespace
 
-std::vector<const internal::StepEntry *>
-Coordinator::Impl::clearReservations() {
+std::vector<internal::StepEntry *> Coordinator::Impl::clearReservations() {
   if (!ReservingSteps_.empty())
     for (WorkerEntry *Worker : WorkerOrder_)
       Worker->Reservation_.reset();
@@ -49,14 +50,14 @@
 // A step that holds reservations keeps them until it starts: they have to last
 // while steps that go before it take their turns.
 void Coordinator::Impl::renewReservations() {
-  if (now() < NextReservationAt_)
+  if (now() < NextRenewalAt_)
     return;
-  NextReservationAt_ = now() + RenewalInterval;
+  NextRenewalAt_ = now() + RenewalInterval;
   auto Steps = clearReservations();
   std::stable_partition(Steps.begin(), Steps.end(), [](const StepEntry *Step) {
     return hasLostRun(*Step);
   });
-  for (const StepEntry *Step : Steps)
+  for (StepEntry *Step : Steps)
     reserveIfStarving(*Step);
 }
 
@@ -148,21 +149,27 @@
   return std::nullopt;
 }
 
-void Coordinator::Impl::reserveIfStarving(const StepEntry &Step) {
-  if (!isReserving(Step) && mayReserve(Step) && isStarving(Step))
-    reserveWorkers(Step);
+void Coordinator::Impl::reserveIfStarving(StepEntry &Step) {
+  if (now() < Step.NextReservationAt_ || isReserving(Step) ||
+      !mayReserve(Step) || !isStarving(Step) || reservableWorkers(Step) == 0)
+    return;
+  if (reserveWorkers(Step))
+    ReservingSteps_.push_back(&Step);
+  else
+    Step.NextReservationAt_ = now() + ReservationRetryDelay;
 }
 
-void Coordinator::Impl::reserveWorkers(const StepEntry &Step) {
+// Returns false if no worker could be reserved.
+bool Coordinator::Impl::reserveWorkers(const StepEntry &Step) {
   const QueueConfig *Queue = queueConfig(*Step.Job_);
   if (Queue == nullptr)
-    return;
+    return false;
   auto Wanted = static_cast<std::size_t>(std::count_if(
       Step.Tasks_.begin(), Step.Tasks_.end(),
       [&](const TaskEntry &Task) { return isStartable(Step, Task); }));
   std::size_t Limit = reservableWorkers(Step);
-  if (Limit == 0 || (Step.Spec_->Gang_ && Wanted > Limit))
-    return;
+  if (Wanted == 0 || (Step.Spec_->Gang_ && Wanted > Limit))
+    return false;
   std::vector<std::pair<base::TimePoint, WorkerEntry *>> Candidates;
   for (WorkerEntry *Worker : WorkerOrder_) {
     if (Worker->Info_.Service_ != Queue->Service_ || Worker->Reservation_ ||
@@ -174,14 +181,14 @@
   }
   Wanted = std::min({Wanted, Limit, Candidates.size()});
   if (Wanted == 0)
-    return;
+    return false;
   auto End = Candidates.begin() + static_cast<std::ptrdiff_t>(Wanted);
   std::partial_sort(
       Candidates.begin(), End, Candidates.end(),
       [](const auto &A, const auto &B) { return A.first < B.first; });
   for (auto It = Candidates.begin(); It != End; ++It)
     It->second->Reservation_ = internal::Reservation{&Step, It->first};
-  ReservingSteps_.push_back(&Step);
+  return true;
 }
 
 } // namespace crocuslead::jobs
