Restart workers that take requests meant for their former life in scripts/terms

Nothing here could show it: a rebirth was instant, carried no request over and was followed by no cut.

A worker may now be down for a while; requests that arrive meanwhile are taken by its next life, on connections that outlive it or new ones.

--- a/scripts/lib/domains.py
+++ b/scripts/lib/domains.py
@@ -105,6 +105,9 @@
 
     def __init__(self, name, run, rng, domain):
         self.run, self.loses_answers = run, False
+        self.cut = False  # reached by no entry, and neither by nor from the store
+        self.up = asyncio.Event()
+        self.up.set()
         self.registered_at, self.leaves_at, self.writers = math.inf, None, set()
         self.replacing = self.left = False
         super().__init__(name, run.account, rng, zone=domain, rack=f"{domain}-1")
@@ -115,6 +118,20 @@
         self.run.account.lapsed(self.name)
         self.renewed, self.polled, self.listed, self.asked, self.heard = {}, {}, {}, {}, {}
 
+    async def restart(self, seconds):
+        """Ends this life. Requests that arrive before the next one begins wait for it, as in the backlog of a socket
+        that outlives its process."""
+        if not self.up.is_set():
+            return
+        self.up.clear()
+        self.life()
+        if self.rng.random() < 0.5:
+            for writer in list(self.writers):
+                writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.life()
+        self.up.set()
+
     async def begin(self):
         # An address of the run's own: a port that a worker has left may go to a worker of another run.
         self.server, self.port = await serve(self.handle, self.run.worker_ip, writers=self.writers)
@@ -146,7 +163,7 @@
     def length(self, task):
         if task[0] == "a":
             return math.inf if self.rng.random() < 0.95 else self.rng.uniform(2, 15)
-        return self.rng.uniform(0.1, 3.0)
+        return self.rng.uniform(0.1, self.run.args.longest_task)
 
     def fails(self, task):
         return task[0] == "a" or super().fails(task)
@@ -167,9 +184,16 @@
     async def handle(self, method, path, query, headers, body):
         if self.left:
             raise Drop
-        data, born = json.loads(body), self.born
+        data = json.loads(body)
         sender = self.run.sender(data)
         call = path.rsplit("/", 1)[1].replace("-", "_")
+        if self.cut:
+            await hang()
+        if not self.up.is_set():
+            self.run.carried_over += 1
+            self.run.carried_starts += call == "run_start"
+        await self.up.wait()
+        born = self.born
         if sender and not self.run.passes(sender.domain, self.zone, "worker"):
             if call != "hold" and self.rng.random() < HELD_UP_SHARE:
                 asyncio.get_running_loop().create_task(self.late(call, data, born))
@@ -178,7 +202,7 @@
             self.heard[sender.name] = time.monotonic()
         answer = await super().handle(method, path, query, headers, body)
         lost = sender and not self.run.passes(self.zone, sender.domain, "worker")
-        if lost or self.loses_answers or born != self.born:
+        if lost or self.cut or self.loses_answers or born != self.born:
             await hang()
         if call == "hold" and answer[0] == 200 and sender:
             self.listed[sender.name] = time.monotonic()
--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -14,6 +14,10 @@
 Not covered: traffic between entries is never cut, no clock jumps, and LOST says nothing about finite jobs.
 
 Usage: terms.py [--seed N] [--seeds N] [--seconds S] [--binary PATH] [--max-hold-ms MS] [--quiet-faults KIND,..]
+       [--only-faults KIND,..]
+With --only-faults the faults mostly come one after the other. scripts/restarts uses it for workers that restart and
+take requests meant for their former life.
+
 The exit code is 1 with breaches, whose logs are kept, 2 if nothing ran, and 0 otherwise.
 """
 
@@ -45,6 +49,8 @@
 DRAIN_SECONDS = (2, 7)
 LONGEST_REST = 60  # for the start, the last faults and the settling
 GRACE_SECONDS = 6
+DOWN_SECONDS = (0.1, 1.0)
+RECUT_SECONDS = (5, 9)
 # What ends a term while its coordinator goes on is drawn more often than the other kinds.
 SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2,
           "replace-worker": 2, "roll": 2}
@@ -60,12 +66,14 @@
     def __init__(self, args, folder):
         self.args, self.folder, self.rng = args, folder, make_random(args.seed)
         self.terms, self.lost, self.long_jobs, self.cancelled = {}, collections.Counter(), {}, set()
-        self.quiet = set(args.quiet_faults.split(","))
+        self.quiet, self.only = set(args.quiet_faults.split(",")), set(filter(None, args.only_faults.split(",")))
         self.faults, self.jobs, self.accepted, self.fault_tasks = 0, 0, [], []
         self.began, self.events = time.monotonic(), open(f"{folder}/events.log", "w", encoding="ascii")
         self.account, self.store = Runs(self), TermStore(self.rng, self)
         self.workers, self.entries, self.worker_ip, self.replaced = {}, {}, free_address(), 0
         self.rolling, self.left_in_roll, self.unplanned, self.calm_from = False, 0, 0, 0.0
+        # Requests, and those of them that start a run, that were meant for an earlier life of their worker.
+        self.carried_over, self.carried_starts = 0, 0
 
     def note(self, text):
         print(f"{time.monotonic() - self.began:8.3f} {text}", file=self.events, flush=True)
@@ -112,6 +120,8 @@
         """Writes the entry of a worker, or removes it if the worker has left; False if the store is out of reach."""
         if self.store.mode is not None or not self.passes(worker.zone, STORE_DOMAIN, "store"):
             return False
+        if worker.cut or not worker.up.is_set():
+            return False
         if worker.left:
             self.store.remove(f"servers/{worker.name}")
         else:
@@ -136,7 +146,7 @@
 
     async def client(self, lasting):
         while time.monotonic() < self.end:
-            await asyncio.sleep(self.rng.uniform(0.2, 0.9))
+            await asyncio.sleep(self.rng.uniform(0.2, 0.9) * self.args.pause)
             if lasting and len(self.long_jobs) >= LONG_JOBS:
                 continue
             self.jobs += 1
@@ -171,7 +181,7 @@
     def workers_with_room(self, job, step):
         """Counts workers that could run one more task of the step and stay; ones just registered may be unknown."""
         known = time.monotonic() - 2 * CHECK_INTERVAL - HEARTBEAT
-        return sum(w.leaves_at is None and w.registered_at < known and (len(w.runs) + 1) * step["cpu"] <= w.cpu
+        return sum(w.leaves_at is None and w.registered_at < known and w.up.is_set() and not w.cut and (len(w.runs) + 1) * step["cpu"] <= w.cpu
                    and sum(t.startswith(job) for t in w.runs) < step["anti_affinity"] for w in self.present())
 
     async def watch(self):
@@ -198,9 +208,11 @@
                  "coordinator-store": self.coordinator_store, "watches-only": self.watches_only,
                  "store-down": self.store_down, "store-loses-answers": self.store_loses_answers,
                  "leader-key": self.leader_key, "compact": self.compact, "worker-answers": self.worker_answers,
-                 "late-orders": self.late_orders, "rebirth": self.rebirth, "pause": self.pause, "kill": self.kill,
+                 "late-orders": self.late_orders, "rebirth": self.rebirth, "restart-and-cut": self.restart_and_cut,
+                 "pause": self.pause, "kill": self.kill,
                  "terminate": self.terminate, "replace-worker": self.replace_worker, "roll": self.roll}
         names = [name for name in kinds if name not in self.quiet and (name in PLANNED) == planned
+                 and (not self.only or name in self.only)
                  for _ in range(SHARES.get(name, 1))]
         while names and time.monotonic() < self.end:
             await asyncio.sleep(self.rng.uniform(0.3, 2.8))
@@ -209,6 +221,8 @@
                 self.faults += 1
                 fault = kinds[name]() if planned else self.disturb(kinds[name])
                 self.fault_tasks.append(asyncio.get_running_loop().create_task(fault))
+                if self.only and self.rng.random() < 0.8:
+                    await asyncio.wait({self.fault_tasks[-1]})
                 await asyncio.sleep(self.rng.uniform(0.1, 1.2))
 
     async def disturb(self, kind):
@@ -308,9 +322,40 @@
             worker.late_orders = 0.0
 
     async def rebirth(self):
-        worker = self.rng.choice(self.present())
-        self.note(f"{worker.name} is born again")
-        worker.life()
+        worker, seconds = self.rng.choice(self.present()), self.rng.choice([0.0, self.rng.uniform(*DOWN_SECONDS)])
+        self.note(f"{worker.name} is born again after {seconds:.2f} s")
+        await worker.restart(seconds)
+
+    async def restart_and_cut(self):
+        """Restarts the workers of a domain and cuts them off soon after, at times before anybody has heard of them."""
+        domain, down = self.rng.choice(DOMAINS), self.rng.uniform(*DOWN_SECONDS)
+        chosen = [w for w in self.present() if w.zone == domain and w.up.is_set() and not w.cut]
+        loses = self.rng.random() < 0.5
+        ends_term = self.rng.choice([None, None, signal.SIGKILL, signal.SIGTERM])
+        seen, seconds = math.exp(self.rng.uniform(math.log(0.02), math.log(2))), self.rng.uniform(*RECUT_SECONDS)
+        self.note(f"workers of {domain} are down for {down:.2f} s, {seen:.2f} s later cut off for {seconds:.1f} s, "
+                  f"answers {'lost' if loses else 'kept'}, {ends_term} for the coordinator")
+        if ends_term:
+            asyncio.get_running_loop().create_task(self.end_term(ends_term, self.rng.uniform(0, down + seen + 0.5)))
+        restarts = [worker.restart(down) for worker in chosen]
+        if loses:
+            for worker in chosen:
+                worker.loses_answers = True
+        await asyncio.gather(*restarts)
+        await asyncio.sleep(seen)
+        for worker in chosen:
+            worker.cut = True
+        await asyncio.sleep(seconds)
+        for worker in chosen:
+            worker.cut = worker.loses_answers = False
+        self.note(f"workers of {domain} are back")
+
+    async def end_term(self, number, after):
+        await asyncio.sleep(after)
+        entry = self.coordinator()
+        self.note(f"{entry.name} gets {number}")
+        entry.signal(number)
+        await self.restart(entry)
 
     async def pause(self):
         entry, seconds = self.coordinator(), self.rng.uniform(1, 6)
@@ -391,7 +436,7 @@
         watch = asyncio.get_running_loop().create_task(self.watch())
         await asyncio.sleep(3)
         self.end = time.monotonic() + self.args.seconds
-        injections = [self.inject(planned=True)] + ([self.inject(planned=False)] if self.args.seed % 3 else [])
+        injections = [self.inject(planned=True)] + ([self.inject(planned=False)] if self.only or self.args.seed % 3 else [])
         await asyncio.gather(self.client(True), self.client(False), self.reader(), *injections)
         await asyncio.gather(*self.fault_tasks)
         await asyncio.sleep(SETTLE_SECONDS)
@@ -422,7 +467,7 @@
         traceback.print_exc()
     finally:
         run.stop()
-        if code == 0:
+        if code == 0 and not args.keep:
             shutil.rmtree(folder)
         sys.stdout.flush()
         # Waiting until the handlers of open connections are cancelled may never end.
@@ -437,6 +482,10 @@
     parser.add_argument("--binary", default=soak.BINARY)
     parser.add_argument("--max-hold-ms", type=int, default=6000)
     parser.add_argument("--quiet-faults", default="", help="kinds to leave out, joined by commas")
+    parser.add_argument("--only-faults", default="", help="kinds to inject and no others, joined by commas")
+    parser.add_argument("--pause", type=float, default=1.0, help="factor for the time between two jobs")
+    parser.add_argument("--longest-task", type=float, default=3.0, help="run time of finite tasks in seconds, at most")
+    parser.add_argument("--keep", action="store_true", help="keep the logs also of a run that passed")
     parser.add_argument("--show", type=int, default=10, help="breaches to print")
     args = parser.parse_args()
     if args.seeds > 1:
