--- a/scripts/lib/runs.py
+++ b/scripts/lib/runs.py
@@ -142,7 +142,8 @@
     print(f"seed {run.args.seed}: {'FAILED' if breaches or lost else 'ok'}, {run.account.starts} starts, "
           f"{len(run.terms)} terms, {run.faults} faults, {run.replaced} workers replaced "
           f"({run.left_in_roll} left in a roll), "
-          f"{run.carried_over} requests carried over ({run.carried_starts} starts), {len(run.accepted)} of {run.jobs} jobs accepted, "
+          f"{run.carried_over} requests carried over ({run.carried_starts} starts), "
+          f"{len(run.accepted)} of {run.jobs} jobs accepted, "
           f"{len(breaches)} breaches, {len(lost)} lost "
           f"(longest wait {run.account.longest:.2f} s)")
     for b in lost[:run.args.show]:
--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -181,7 +181,8 @@
     def workers_with_room(self, job, step):
         """Counts workers that could run one more task of the step and stay; ones just registered may be unknown."""
         known = time.monotonic() - 2 * CHECK_INTERVAL - HEARTBEAT
-        return sum(w.leaves_at is None and w.registered_at < known and w.up.is_set() and not w.cut and (len(w.runs) + 1) * step["cpu"] <= w.cpu
+        return sum(w.leaves_at is None and w.registered_at < known and w.up.is_set() and not w.cut
+                   and (len(w.runs) + 1) * step["cpu"] <= w.cpu
                    and sum(t.startswith(job) for t in w.runs) < step["anti_affinity"] for w in self.present())
 
     async def watch(self):
@@ -436,7 +437,8 @@
         watch = asyncio.get_running_loop().create_task(self.watch())
         await asyncio.sleep(3)
         self.end = time.monotonic() + self.args.seconds
-        injections = [self.inject(planned=True)] + ([self.inject(planned=False)] if self.only or self.args.seed % 3 else [])
+        unplanned = self.only or self.args.seed % 3
+        injections = [self.inject(planned=True)] + ([self.inject(planned=False)] if unplanned else [])
         await asyncio.gather(self.client(True), self.client(False), self.reader(), *injections)
         await asyncio.gather(*self.fault_tasks)
         await asyncio.sleep(SETTLE_SECONDS)
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -133,6 +133,10 @@
         {{"worker", Worker.Info_.Id_},
          {"status", requestStatusName(Status)},
          {"runs", static_cast<int64_t>(Worker.Runs_.size())},
+         {"unlisted_runs",
+          static_cast<int64_t>(std::count_if(
+              Worker.Runs_.begin(), Worker.Runs_.end(),
+              [](const RunEntry *Run) { return !Run->SeenRunning_; }))},
          {"lease_left_ms", base::toMillis(leaseEnd(Worker) - now())}});
   }
   Worker.NextPollAt_ =
@@ -328,6 +332,7 @@
                  {{"task", taskName(Status.Task_)},
                   {"run", Status.Run_},
                   {"worker", Worker.Info_.Id_},
+                  {"born_ms", Worker.Info_.StartTimeMs_},
                   {"percent", Status.ProgressPercent_}});
   bool IsDuplicate = Task->Runs_.size() > 1 && !Step.Spec_->Speculative_;
   if (IsDuplicate)
