Show double runs by restarted workers in tests

The simulated world never let an incarnation end under requests on their way and cut the next one off before it was seen: a restart was instant, requests reached the next incarnation only if they were in flight for 2 ms, and the registry was always up to date. A worker may now be down for a while, its next incarnation executes what arrives meanwhile, and the registry may lag.

--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -67,8 +67,11 @@
     return;
   std::map<std::string, WorkerInfo> All;
   for (const auto &[Id, Worker] : Workers_)
-    if (Worker.Listed_ && !Worker.Info_.Id_.empty())
+    if (Worker.Listed_ && !Worker.Info_.Id_.empty()) {
       All[Id] = Worker.Info_;
+      All[Id].StartTimeMs_ =
+          Worker.ListedStartTimeMs_.value_or(Worker.Info_.StartTimeMs_);
+    }
   Coordinator_->setWorkers(All);
 }
 
@@ -128,6 +131,29 @@
   Worker.Info_.StartTimeMs_ = Clock_.wallNow().time_since_epoch().count();
 }
 
+void JobWorld::restartWorkerAfter(const std::string &Id,
+                                  base::Duration Downtime) {
+  crashWorker(Id);
+  worker(Id).DropsRequests_ = false;
+  worker(Id).Down_ = true;
+  if (!worker(Id).ListedStartTimeMs_)
+    worker(Id).ListedStartTimeMs_ = worker(Id).Info_.StartTimeMs_;
+  schedule(Downtime, [this, Id] {
+    bool DropsReplies = worker(Id).DropsReplies_;
+    restartWorkerUnregistered(Id);
+    worker(Id).DropsReplies_ = DropsReplies;
+    worker(Id).Down_ = false;
+    auto Backlog = std::exchange(worker(Id).Backlog_, {});
+    for (const auto &Arrive : Backlog)
+      Arrive();
+  });
+}
+
+void JobWorld::registerWorker(const std::string &Id) {
+  worker(Id).ListedStartTimeMs_.reset();
+  publishWorkers();
+}
+
 void JobWorld::submit(const std::string &Id, JobSpec Spec,
                       const std::string &Queue) {
   JobRecord Record{Queue, std::move(Spec), Clock_.wallNow()};
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -45,10 +45,16 @@
   base::TimePoint StartedAt_;
   //! The registry has an entry of it.
   bool Listed_ = true;
+  //! Start time in that entry, if it is one of an earlier incarnation.
+  std::optional<int64_t> ListedStartTimeMs_;
   //! Requests to the worker are lost.
   bool DropsRequests_ = false;
   //! Replies of the worker are lost.
   bool DropsReplies_ = false;
+  //! Between two incarnations: requests that arrive wait in Backlog_ for the
+  //! next one.
+  bool Down_ = false;
+  std::vector<std::function<void()>> Backlog_;
   //! A worker with another id answers at its address.
   bool AddressTaken_ = false;
   int Polls_ = 0;
@@ -102,6 +108,11 @@
   //! The same, while the registry still has the entry of the earlier
   //! incarnation.
   void restartWorkerUnregistered(const std::string &Id);
+  //! Restarts the worker after Downtime. The next incarnation executes the
+  //! requests that arrive meanwhile, and is not in the registry before
+  //! registerWorker().
+  void restartWorkerAfter(const std::string &Id, base::Duration Downtime);
+  void registerWorker(const std::string &Id);
   //! Publishes a registry entry of an earlier incarnation.
   void publishStaleEntry(const std::string &Id);
   void submit(const std::string &Id, JobSpec Spec,
@@ -236,6 +247,10 @@
   void deliver(const std::string &Id, uint64_t Term, RequestCallback Done,
                std::function<RequestStatus(FakeWorker &)> Action);
   void recordViolation(const std::string &Text);
+  //! Executes a request and answers it, unless the caller has given it up.
+  void execute(const std::string &Id,
+               const std::function<RequestStatus(FakeWorker &)> &Action,
+               bool ReplyLost, const RequestCallback &Done);
 
   //! Time that a request sent now spends in the queue of the link.
   base::Duration queueOnLink();
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -1,6 +1,7 @@
 #include "jobs/JobWorld.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuslead::jobs::test {
 
@@ -156,22 +157,33 @@
   base::TimePoint StartedAt = Workers_.at(Id).StartedAt_;
   schedule(OneWayDelay + Queued, [=] {
     FakeWorker &Worker = Workers_.at(Id);
-    RequestReply Reply;
     bool Reached =
         !Worker.DropsRequests_ && !isCut(Term, Id) &&
         (RequestsReachNextIncarnation_ || Worker.StartedAt_ == StartedAt);
-    if (Reached) {
-      Reply.Status_ = Action(Worker);
-      Reply.ClockMs_ = workerClockMs(Worker);
-    }
-    if (!Reached || Worker.DropsReplies_ || Lost) {
-      schedule(CallTimeout, [Done] { Done({RequestStatus::Unknown, {}}); });
-      return;
-    }
-    schedule(OneWayDelay, [Done, Reply] { Done(Reply); });
+    auto Ended = std::make_shared<bool>(false);
+    RequestCallback DoneOnce = [Done, Ended](const RequestReply &Reply) {
+      if (!std::exchange(*Ended, true))
+        Done(Reply);
+    };
+    schedule(CallTimeout, [DoneOnce] {
+      DoneOnce({RequestStatus::Unknown, {}});
+    });
+    if (Reached && Worker.Down_)
+      Worker.Backlog_.push_back([=] { execute(Id, Action, Lost, DoneOnce); });
+    else if (Reached)
+      execute(Id, Action, Lost, DoneOnce);
   });
 }
 
+void JobWorld::execute(const std::string &Id,
+                       const std::function<RequestStatus(FakeWorker &)> &Action,
+                       bool ReplyLost, const RequestCallback &Done) {
+  FakeWorker &Worker = Workers_.at(Id);
+  RequestReply Reply{Action(Worker), workerClockMs(Worker)};
+  if (!Worker.DropsReplies_ && !ReplyLost)
+    schedule(OneWayDelay, [Done, Reply] { Done(Reply); });
+}
+
 void JobWorld::start(const WorkerAddress &To, const StartRequest &Request,
                      RequestCallback Done) {
   std::string Id = To.Id_;
@@ -247,7 +259,7 @@
         });
   };
   base::Duration Wait = std::min(Request.Wait_, MaxPollWait_);
-  if (Wait.count() == 0) {
+  if (Wait.count() == 0 || Workers_.at(Id).Down_) {
     Answer();
     return;
   }
--- /dev/null
+++ b/tests/jobs/Restarts.tests.cpp
@@ -0,0 +1,274 @@
+#include "jobs/JobWorld.h"
+#include "support/SeedRange.h"
+
+#include <doctest/doctest.h>
+
+namespace crocuslead::jobs::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string Task = "a.0.0.0";
+
+void requireNoViolations(const JobWorld &World) {
+  for (const std::string &Violation : World.Oracle_.Violations_)
+    FAIL_CHECK(Violation);
+}
+
+void setReachable(FakeWorker &Worker, bool Reachable) {
+  Worker.DropsRequests_ = Worker.DropsReplies_ = !Reachable;
+}
+
+//! Two workers, and a task for the larger one, which is down when the start
+//! arrives. Its next incarnation takes the start, but its replies are lost.
+class CarriedStart {
+public:
+  explicit CarriedStart(base::Duration RunTime) {
+    World_.addWorker("w0");
+    World_.addWorker("w1", 4'000);
+    World_.startSuccessor();
+    // On clocks that are well ahead of those of the next incarnations.
+    World_.run(seconds(15));
+    World_.RunDuration_ = RunTime;
+    World_.restartWorkerAfter("w0", milliseconds(500));
+    World_.worker("w0").DropsReplies_ = true;
+    World_.submit("a", chainJob(1, 1));
+    World_.run(milliseconds(100));
+  }
+
+  void cutOff() {
+    World_.run(milliseconds(420));
+    REQUIRE(World_.Oracle_.RunningOn_[Task].count("w0") == 1);
+    setReachable(World_.worker("w0"), false);
+  }
+
+  JobWorld World_;
+};
+
+//! Restarts of workers that take requests meant for their former incarnation,
+//! and are cut off before or after anybody has heard of them, while the
+//! coordinator crashes or resigns.
+class RandomRestarts {
+public:
+  explicit RandomRestarts(uint64_t Seed) : World_(Seed) {
+    for (uint32_t I = 0; I < Workers; ++I) {
+      World_.addWorker("w" + std::to_string(I));
+      World_.worker("w" + std::to_string(I)).ClockRate_ =
+          World_.Random_.below(2) == 0 ? 0.98 : 1;
+    }
+    World_.FormerTermsLearnJobs_ = true;
+    World_.startSuccessor();
+    World_.run(milliseconds(World_.Random_.below(12'000)));
+  }
+
+  void run() {
+    constexpr int Rounds = 12;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      submitSome();
+      restartSome();
+    }
+    World_.LostReplyShare_ = 0;
+    World_.run(seconds(90));
+    for (int I = 0; I < Submitted_; ++I)
+      CHECK(World_.state("j" + std::to_string(I)) == JobState::Completed);
+    for (const std::string &Each : Lasting_)
+      CHECK_MESSAGE(World_.Oracle_.RunningOn_[Each].size() == 1, Each);
+    requireNoViolations(World_);
+  }
+
+private:
+  static constexpr uint32_t Workers = 6;
+
+  void submitSome() {
+    for (uint64_t I = World_.Random_.below(4); I > 0; --I) {
+      World_.RunDuration_ = milliseconds(50 + World_.Random_.below(12'000));
+      World_.submit("j" + std::to_string(Submitted_++),
+                    chainJob(1 + static_cast<uint32_t>(World_.Random_.below(2)),
+                             count(), 700));
+      World_.run(milliseconds(World_.Random_.below(300)));
+    }
+    if (Lasting_.size() > Workers)
+      return;
+    std::string Id = "s" + std::to_string(Lasting_.size());
+    JobSpec Spec = chainJob(1, count(), 300);
+    Spec.Steps_[0].LongRunning_ = true;
+    for (uint32_t I = 0; I < Spec.Steps_[0].Count_; ++I)
+      Lasting_.push_back(taskName({Id, {0, 0, I}}));
+    World_.submit(Id, Spec);
+  }
+
+  void restartSome() {
+    std::set<std::string> Chosen;
+    for (const auto &[Id, Worker] : World_.Workers_)
+      if (World_.Random_.below(3) == 0)
+        Chosen.insert(Id);
+    auto Down = milliseconds(100 + World_.Random_.below(900));
+    for (const std::string &Id : Chosen)
+      World_.restartWorkerAfter(Id, Down);
+    World_.run(milliseconds(World_.Random_.below(300)));
+    submitSome();
+    bool LosesReplies = World_.Random_.below(2) == 0;
+    for (const std::string &Id : Chosen)
+      World_.worker(Id).DropsReplies_ = LosesReplies;
+    endTerm();
+    World_.run(Down);
+    if (World_.Random_.below(2) == 0)
+      registerAll(Chosen);
+    World_.run(
+        milliseconds(World_.Random_.below(1 + World_.Random_.below(2'000))));
+    for (const std::string &Id : Chosen)
+      setReachable(World_.worker(Id), false);
+    World_.run(milliseconds(World_.Random_.below(1'000)));
+    endTerm();
+    World_.run(milliseconds(4'000 + World_.Random_.below(11'000)));
+    endTerm();
+    for (const std::string &Id : Chosen)
+      setReachable(World_.worker(Id), true);
+    registerAll(Chosen);
+    World_.run(milliseconds(World_.Random_.below(2'000)));
+  }
+
+  void registerAll(const std::set<std::string> &Ids) {
+    for (const std::string &Id : Ids)
+      World_.registerWorker(Id);
+  }
+
+  void endTerm() {
+    switch (World_.Random_.below(6)) {
+    case 0:
+      World_.crashCoordinator();
+      World_.run(milliseconds(1'800 + World_.Random_.below(600)));
+      World_.startSuccessor();
+      break;
+    case 1:
+      World_.handOver(milliseconds(20 + World_.Random_.below(400)));
+      break;
+    default:
+      break;
+    }
+  }
+
+  uint32_t count() {
+    return static_cast<uint32_t>(1 + World_.Random_.below(Workers));
+  }
+
+  JobWorld World_;
+  int Submitted_ = 0;
+  std::vector<std::string> Lasting_;
+};
+
+} // namespace
+
+TEST_CASE("A start that the next incarnation took makes no second run while "
+          "that one holds its longest lease") {
+  CarriedStart Case(seconds(60));
+  Case.cutOff();
+  Case.World_.run(seconds(20));
+  CHECK(Case.World_.startsOf(Task) == 2);
+  requireNoViolations(Case.World_);
+}
+
+TEST_CASE("A successor makes no second run beside one whose start an unseen "
+          "incarnation took after a crash") {
+  CarriedStart Case(seconds(60));
+  Case.World_.crashCoordinator();
+  Case.cutOff();
+  Case.World_.run(milliseconds(1'900));
+  Case.World_.startSuccessor();
+  Case.World_.run(seconds(25));
+  CHECK(Case.World_.startsOf(Task) == 2);
+  requireNoViolations(Case.World_);
+}
+
+TEST_CASE("A successor makes no second run beside one whose start an unseen "
+          "incarnation took after a handover") {
+  CarriedStart Case(seconds(60));
+  Case.World_.handOver(milliseconds(100));
+  Case.cutOff();
+  Case.World_.run(seconds(25));
+  CHECK(Case.World_.startsOf(Task) == 2);
+  requireNoViolations(Case.World_);
+}
+
+TEST_CASE("A successor does not acknowledge a result of an incarnation that "
+          "nobody had seen when its run was given up") {
+  CarriedStart Case(seconds(3));
+  JobWorld &World = Case.World_;
+  Case.cutOff();
+  World.RunDuration_ = seconds(60);
+  World.run(seconds(20));
+  REQUIRE(World.startsOf(Task) == 2);
+  SUBCASE("which the coordinator sees before it is replaced") {
+    setReachable(World.worker("w0"), true);
+    World.registerWorker("w0");
+    World.run(seconds(2));
+    World.startSuccessor();
+  }
+  SUBCASE("which only the successor sees") {
+    World.startSuccessor();
+    World.run(seconds(1));
+    setReachable(World.worker("w0"), true);
+    World.registerWorker("w0");
+  }
+  World.run(seconds(5));
+  CHECK(World.worker("w0").Ended_.size() == 1);
+  requireNoViolations(World);
+}
+
+TEST_CASE("An acknowledgement for the former incarnation does not discard the "
+          "result of a run that the next one took") {
+  JobWorld World;
+  World.addWorker("w0");
+  World.startSuccessor();
+  World.submit("b", chainJob(1, 3));
+  World.run(seconds(15));
+  REQUIRE(World.state("b") == JobState::Completed);
+  World.RunDuration_ = milliseconds(100);
+  World.restartWorkerAfter("w0", milliseconds(500));
+  World.worker("w0").DropsReplies_ = true;
+  World.submit("a", chainJob(1, 1));
+  World.run(seconds(2));
+  REQUIRE(World.Oracle_.EverDone_.count(Task) == 1);
+  World.worker("w0").DropsReplies_ = false;
+  World.registerWorker("w0");
+  World.run(seconds(10));
+  CHECK(World.state("a") == JobState::Completed);
+  CHECK(World.startsOf(Task) == 1);
+  requireNoViolations(World);
+}
+
+// Guards against a longer outage of services: only starts that were on their
+// way when the coordinator crashed may have reached an unseen incarnation.
+TEST_CASE("A long-running task of a lost worker restarts within 9 s although "
+          "the coordinator crashed with it") {
+  JobWorld World;
+  for (const char *Id : {"w0", "w1", "w2", "w3", "w4"})
+    World.addWorker(Id);
+  World.startSuccessor();
+  JobSpec Spec = chainJob(1, 5);
+  Spec.Steps_[0].LongRunning_ = true;
+  World.submit("a", Spec);
+  World.run(seconds(15));
+  std::string Lost = *World.Oracle_.RunningOn_[Task].begin();
+  World.crashWorker(Lost);
+  World.worker(Lost).Listed_ = false;
+  World.crashCoordinator();
+  World.run(milliseconds(2'300));
+  World.startSuccessor();
+  World.run(milliseconds(6'700));
+  CHECK(World.Oracle_.RunningOn_[Task].size() == 1);
+  requireNoViolations(World);
+}
+
+TEST_CASE("Random restarts of workers that are cut off before or after they "
+          "are seen cause no violation") {
+  auto Seeds = tests::seedRange({1, 150});
+  for (uint64_t Seed = Seeds.First_; Seed <= Seeds.Last_; ++Seed) {
+    CAPTURE(Seed);
+    RandomRestarts(Seed).run();
+  }
+}
+
+} // namespace crocuslead::jobs::test
