Give runs up only when no later incarnation of their worker can hold them

A task ran twice when its worker restarted under its id: the next incarnation took the start, held its longest lease, since the end of a lease is given on the clock of the incarnation before, and was cut off before it was seen. The coordinator started the task elsewhere 4.6 s later.

A run is now located once a report of the worker's incarnation has listed it, or the clock in the answer to its start is above what a later incarnation can show. Only runs that are not located wait for the longest lease (13.2 s with max_hold_ms 10,000) before they are given up; all others as before. The clock in an answer is used for leases only if it is the present incarnation's, and polls don't wait while a run is not located.

--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -60,25 +60,30 @@
 
 // Long-running tasks never finish, so they start again at once. The others
 // wait until the abandonment is recorded: a later coordinator must not
-// acknowledge their results either. Returns false while any run is left.
+// acknowledge their results either. Runs that are not located wait for the
+// longest lease of an incarnation that nobody has seen. Returns false while any
+// run is left.
 bool Coordinator::Impl::abandonRuns(WorkerEntry &Worker) {
   constexpr const char *Reason = "lease-expired-at-unreachable-worker";
-  bool HasFiniteRuns = false;
-  for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_)) {
-    if (Run->Step_->Spec_->LongRunning_)
-      concludeUnreportedRun(*Run, Reason);
-    else
-      HasFiniteRuns = true;
+  bool UnlocatedOver = wasLatestTermAt(unlocatedRunEnd(Worker));
+  bool AnyFiniteOver = false;
+  std::vector<RunEntry *> Over;
+  for (RunEntry *Run : Worker.Runs_) {
+    bool Finite = !Run->Step_->Spec_->LongRunning_;
+    if (!Run->Located_ && !UnlocatedOver)
+      continue;
+    Over.push_back(Run);
+    AnyFiniteOver = AnyFiniteOver || Finite;
   }
-  if (!HasFiniteRuns)
-    return true;
-  markAbandoned(Worker);
-  if (!Worker.AbandonmentDurable_)
-    return false;
-  recordWorkerLoss(Worker, WorkerLoss::OutOfReach);
-  for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_))
-    concludeUnreportedRun(*Run, Reason);
-  return true;
+  if (AnyFiniteOver)
+    markAbandoned(Worker);
+  bool MayEndFinite = AnyFiniteOver && Worker.AbandonmentDurable_;
+  if (MayEndFinite)
+    recordWorkerLoss(Worker, WorkerLoss::OutOfReach);
+  for (RunEntry *Run : Over)
+    if (MayEndFinite || Run->Step_->Spec_->LongRunning_)
+      concludeUnreportedRun(*Run, Reason);
+  return Worker.Runs_.empty();
 }
 
 void Coordinator::Impl::markAbandoned(WorkerEntry &Worker) {
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -177,6 +177,9 @@
   //! By when every lease on the worker has ended, unless another coordinator
   //! renews it.
   base::TimePoint leaseEnd(const WorkerEntry &Worker) const;
+  //! By when the runs on it have ended that are not located. A later
+  //! incarnation may hold its longest lease for them.
+  base::TimePoint unlocatedRunEnd(const WorkerEntry &Worker) const;
   void fencePredecessors(WorkerEntry &Worker);
   //! Longest time after a request was sent for which a worker can hold a lease
   //! that it granted.
@@ -184,7 +187,12 @@
   void expectLongestLease(WorkerEntry &Worker, base::TimePoint LastRequestAt);
   //! Expects the leases that requests to an earlier incarnation may grant.
   void expectEarlierLease(WorkerEntry &Worker);
-  void recordClock(WorkerEntry &Worker, int64_t WorkerMs);
+  void recordClock(WorkerEntry &Worker, int64_t WorkerMs,
+                   base::TimePoint SentAt);
+  //! Which incarnation of a worker has answered a request.
+  enum class Answerer : uint8_t { Present, Later, Unknown };
+  Answerer answererOf(const WorkerEntry &Worker, int64_t ClockMs,
+                      base::TimePoint SentAt) const;
   //! Stops what would end with the worker; what would end before runs on.
   //! Repeated calls judge that again.
   void drainWorker(WorkerEntry &Worker);
@@ -225,6 +233,8 @@
   bool mayStartRuns();
   //! It is recorded as a lease holder, and may confirm the term by an answer.
   bool mustConfirmTerm(const WorkerEntry &Worker) const;
+  //! The store showed that no later term had begun at this time.
+  bool wasLatestTermAt(base::TimePoint Time) const;
   bool hasLeaseEnded(const WorkerEntry &Worker) const;
   bool mayRecordUsedWorkers() const;
   //! For how long after the end of a term its coordinator may grant leases.
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -63,7 +63,7 @@
                  Worker.PendingAcknowledgements_.empty();
   bool HasUnconfirmedRuns = std::any_of(
       Worker.Runs_.begin(), Worker.Runs_.end(), [](const RunEntry *Run) {
-        return Run->Phase_ == RunPhase::StartUnconfirmed ||
+        return !Run->Located_ || Run->Phase_ == RunPhase::StartUnconfirmed ||
                (Run->Phase_ == RunPhase::Stopping && Run->StopAcceptedAt_);
       });
   if (MayWait && !HasUnconfirmedRuns)
@@ -133,10 +133,10 @@
         {{"worker", Worker.Info_.Id_},
          {"status", requestStatusName(Status)},
          {"runs", static_cast<int64_t>(Worker.Runs_.size())},
-         {"unlisted_runs",
+         {"unlocated_runs",
           static_cast<int64_t>(std::count_if(
               Worker.Runs_.begin(), Worker.Runs_.end(),
-              [](const RunEntry *Run) { return !Run->SeenRunning_; }))},
+              [](const RunEntry *Run) { return !Run->Located_; }))},
          {"lease_left_ms", base::toMillis(leaseEnd(Worker) - now())}});
   }
   Worker.NextPollAt_ =
@@ -166,7 +166,7 @@
     Worker.RecordDurable_ = false;
     markUsedWorkersDirty();
   }
-  recordClock(Worker, Report.ClockMs_);
+  recordClock(Worker, Report.ClockMs_, SentAt);
   // Runs of an earlier term must be adopted before results are processed.
   for (const RunStatus &Status : Report.Running_) {
     RunEntry *Run = findRunOnWorker(Worker, Status.Task_, Status.Run_);
@@ -176,7 +176,7 @@
       adoptRun(Worker, Status);
       continue;
     }
-    Run->SeenRunning_ = true;
+    Run->Located_ = true;
     noteExists(*Run, Report.ClockMs_);
     if (Run->ProgressPercent_ != Status.ProgressPercent_ ||
         Run->Checkpoint_ != Status.Checkpoint_)
@@ -320,7 +320,7 @@
   RunEntry &Run = addRun(Step, *Task, Worker, Status.Run_);
   Task->LastRun_ = std::max(Task->LastRun_, Status.Run_);
   Run.Phase_ = RunPhase::Running;
-  Run.Adopted_ = Run.SeenRunning_ = true;
+  Run.Adopted_ = Run.Located_ = true;
   if (Step.Spec_->BestEffort_)
     Run.SpeedPercent_ = internal::UnknownSpeed;
   Run.ProgressPercent_ = Status.ProgressPercent_;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -186,8 +186,11 @@
   if (Run == nullptr || Superseded_)
     return;
   WorkerEntry &Worker = *Run->Worker_;
+  Answerer By = Answerer::Unknown;
   if (Reply.ClockMs_) {
-    recordClock(Worker, *Reply.ClockMs_);
+    By = answererOf(Worker, *Reply.ClockMs_, SentAt);
+    if (By == Answerer::Present)
+      recordClock(Worker, *Reply.ClockMs_, SentAt);
     base::Duration Time = now() - SentAt;
     Worker.ShortestReply_ = std::min(Worker.ShortestReply_, Time);
     base::Duration QueueingDelay = Time - Worker.ShortestReply_;
@@ -201,8 +204,13 @@
       Run->Phase_ = RunPhase::Running;
       Run->PhaseSince_ = Run->StartedAt_ = Run->LastProgressAt_ = now();
     }
-    markReachable(Worker);
-    if (Reply.ClockMs_)
+    if (By == Answerer::Present) {
+      Run->Located_ = true;
+      markReachable(Worker);
+    } else {
+      Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
+    }
+    if (Reply.ClockMs_ && By != Answerer::Later)
       noteExists(*Run, *Reply.ClockMs_);
     if (Run->Step_->Spec_->BestEffort_)
       throttleBestEffort(Worker);
@@ -313,7 +321,7 @@
        {"worker", Run.Worker_->Info_.Id_},
        {"born_ms", Run.Worker_->Info_.StartTimeMs_},
        {"reason", Reason},
-       {"listed", Run.SeenRunning_},
+       {"located", Run.Located_},
        {"known_ms", base::toMillis(now() - Run.KnownSince_)},
        {"lease_left_ms", base::toMillis(leaseEnd(*Run.Worker_) - now())},
        {"term", Settings_.Term_}});
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -79,8 +79,10 @@
   base::TimePoint NextStopSendAt_;
   bool StopInFlight_ = false;
   bool ThrottleInFlight_ = false;
-  //! The worker's present incarnation has reported it as running.
-  bool SeenRunning_ = false;
+  //! It is known to be on the worker's present incarnation: a report of that
+  //! one listed it, or only its clock can be in the answer to the start. Unset,
+  //! a later incarnation may have taken the start, or may yet do so.
+  bool Located_ = false;
   //! Started in an earlier term, so its start time is unknown.
   bool Adopted_ = false;
   //! Started from a checkpoint.
@@ -203,9 +205,11 @@
   uint64_t Version_ = 0;
 };
 
-//! Reading of a worker's clock.
+//! Reading of the clock of a worker's present incarnation.
 struct ClockSample {
   int64_t WorkerMs_ = 0;
+  //! When the request was sent whose reply contains it.
+  base::TimePoint SentAt_;
   //! When the reading arrived, by the coordinator's clock.
   base::TimePoint TakenAt_;
 };
--- a/src/jobs/internal/Terms.cpp
+++ b/src/jobs/internal/Terms.cpp
@@ -127,8 +127,12 @@
 // The end of its own lease is no proof that a worker runs nothing: a successor
 // may have renewed it, unless none was elected before that end.
 bool Coordinator::Impl::hasLeaseEnded(const WorkerEntry &Worker) const {
+  return wasLatestTermAt(leaseEnd(Worker));
+}
+
+bool Coordinator::Impl::wasLatestTermAt(base::TimePoint Time) const {
   auto ByStore = Confirmation_.confirmedByStoreAt();
-  return ByStore && *ByStore > leaseEnd(Worker);
+  return ByStore && *ByStore > Time;
 }
 
 // The record decides how many workers have to confirm an earlier term, so it
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -180,8 +180,23 @@
       drainWorker(*Worker);
 }
 
-void Coordinator::Impl::recordClock(WorkerEntry &Worker, int64_t WorkerMs) {
-  Worker.Clock_ = internal::ClockSample{WorkerMs, now()};
+void Coordinator::Impl::recordClock(WorkerEntry &Worker, int64_t WorkerMs,
+                                    base::TimePoint SentAt) {
+  Worker.Clock_ = internal::ClockSample{WorkerMs, SentAt, now()};
+}
+
+// A later incarnation started after the last reading, so its clock shows less
+// than the time since then. The clock of the present one never goes back.
+Coordinator::Impl::Answerer
+Coordinator::Impl::answererOf(const WorkerEntry &Worker, int64_t ClockMs,
+                              base::TimePoint SentAt) const {
+  if (!Worker.Clock_)
+    return Answerer::Unknown;
+  if (ClockMs > millis(now() - Worker.Clock_->SentAt_) + 1)
+    return Answerer::Present;
+  bool HasGoneBack =
+      SentAt >= Worker.Clock_->TakenAt_ && ClockMs < Worker.Clock_->WorkerMs_;
+  return HasGoneBack ? Answerer::Later : Answerer::Unknown;
 }
 
 int64_t Coordinator::Impl::grantLease(WorkerEntry &Worker) {
@@ -206,6 +221,16 @@
                   std::min(End, Worker.RecordedLeaseEnd_.value_or(End)));
 }
 
+// The end of a lease is given on the clock of the incarnation that a request is
+// meant for, so a later one that takes it may hold its longest lease.
+base::TimePoint
+Coordinator::Impl::unlocatedRunEnd(const WorkerEntry &Worker) const {
+  base::TimePoint End = leaseEnd(Worker);
+  if (Worker.LastLeaseGrantAt_)
+    End = std::max(End, *Worker.LastLeaseGrantAt_ + longestLeaseTime());
+  return End;
+}
+
 // From now on the worker refuses what a predecessor sends it.
 void Coordinator::Impl::fencePredecessors(WorkerEntry &Worker) {
   PredecessorLeases_.fence(Worker.Info_.Id_, now());
@@ -263,9 +288,9 @@
   }
 }
 
-// Runs that the earlier incarnation reported as running are over. A start that
-// it never reported may have reached the new incarnation, which has the same
-// id: it stays unconfirmed until the new incarnation is polled.
+// Runs that were located on the earlier incarnation are over. Other starts may
+// have reached the new incarnation, which has the same id: they stay
+// unconfirmed until it is polled.
 void Coordinator::Impl::replaceIncarnation(WorkerEntry &Worker,
                                            const WorkerInfo &NewInfo) {
   struct UnconfirmedStart {
@@ -276,7 +301,7 @@
   std::vector<UnconfirmedStart> Unconfirmed;
   recordWorkerLoss(Worker, WorkerLoss::IncarnationEnded);
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_)) {
-    if (Run->SeenRunning_)
+    if (Run->Located_)
       continue;
     Unconfirmed.push_back(
         {Run->Step_, &Run->Step_->Tasks_[Run->Position_.Index_], Run->Number_});
@@ -291,6 +316,8 @@
     RunEntry &Run =
         addRun(*Start.Step_, *Start.Task_, NewWorker, Start.Number_);
     Run.Phase_ = RunPhase::StartUnconfirmed;
+    if (Start.Step_->Spec_->BestEffort_)
+      Run.SpeedPercent_ = internal::UnknownSpeed;
   }
 }
 
