Let a successor wait for runs on incarnations that nobody has seen

After a change of the coordinator a task ran twice: the successor waited for leases on the incarnation that the record names, while the next one, unseen and cut off, ran a start of the term before under its longest lease. And a result of such a run was acknowledged by a later term, though the task had been started again: the note on abandoned runs names an incarnation, and the result came from the next one.

The progress of a job now names its located tasks. Such a task is not started again before the record says otherwise, so a successor lets it restart when the usual lease has ended. Any other task of an earlier term waits for the longest lease on each worker that has not answered, or, after a handover, only the tasks of the jobs that had a start on their way to it. Rows of the record of used workers bound that wait for the next term, and say that results of runs that were given up may come from an incarnation that nobody has seen; that note binds whichever incarnation answers, as the registry may lag behind the record. A worker whose results are held back is recorded as such.

--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -168,6 +168,8 @@
   putNonZero(Out, "occurrences", Progress.OccurrencesDone_);
   for (const TaskPosition &Position : Progress.DoneTasks_)
     Out["done"].push_back(positionToJson(Position));
+  for (const TaskPosition &Position : Progress.LocatedTasks_)
+    Out["located"].push_back(positionToJson(Position));
   for (const auto &[Position, Task] : Progress.UnfinishedTasks_) {
     json Row = positionToJson(Position);
     Row.push_back(Task.FailedRuns_);
@@ -194,6 +196,8 @@
         Out.OccurrencesDone_ = In.value("occurrences", uint32_t{0});
         for (const json &Row : In.value("done", json::array()))
           Out.DoneTasks_.push_back(positionFromJson(Row));
+        for (const json &Row : In.value("located", json::array()))
+          Out.LocatedTasks_.push_back(positionFromJson(Row));
         for (const json &Row : In.value("open", json::array()))
           Out.UnfinishedTasks_[positionFromJson(Row)] = {
               Row.at(3).get<std::vector<uint64_t>>(),
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -71,6 +71,9 @@
   //! Occurrences with a lower number are done.
   uint32_t OccurrencesDone_ = 0;
   std::vector<TaskPosition> DoneTasks_;
+  //! Tasks of which no start was sent but those that an incarnation of a worker
+  //! has shown to have taken.
+  std::vector<TaskPosition> LocatedTasks_;
   std::map<TaskPosition, TaskProgress> UnfinishedTasks_;
 };
 
--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -39,7 +39,8 @@
   if (!Unreachable || !hasLeaseEnded(Worker))
     return;
   // A recovery first records that the worker's results must not count.
-  if (Recovering_ && mayRunUnseen(Worker))
+  if ((Recovering_ && mayRunUnseen(Worker)) ||
+      (mayRunUnlocated(Id) && mustRecordUnlocated(Id)))
     return;
   if (!Worker.Runs_.empty() && !abandonRuns(Worker))
     return;
@@ -67,16 +68,18 @@
   constexpr const char *Reason = "lease-expired-at-unreachable-worker";
   bool UnlocatedOver = wasLatestTermAt(unlocatedRunEnd(Worker));
   bool AnyFiniteOver = false;
+  bool AnyFiniteUnlocated = false;
   std::vector<RunEntry *> Over;
   for (RunEntry *Run : Worker.Runs_) {
     bool Finite = !Run->Step_->Spec_->LongRunning_;
+    AnyFiniteUnlocated = AnyFiniteUnlocated || (Finite && !Run->Located_);
     if (!Run->Located_ && !UnlocatedOver)
       continue;
     Over.push_back(Run);
     AnyFiniteOver = AnyFiniteOver || Finite;
   }
   if (AnyFiniteOver)
-    markAbandoned(Worker);
+    markAbandoned(Worker, AnyFiniteUnlocated);
   bool MayEndFinite = AnyFiniteOver && Worker.AbandonmentDurable_;
   if (MayEndFinite)
     recordWorkerLoss(Worker, WorkerLoss::OutOfReach);
@@ -86,10 +89,12 @@
   return Worker.Runs_.empty();
 }
 
-void Coordinator::Impl::markAbandoned(WorkerEntry &Worker) {
-  if (Worker.RunsAbandoned_)
+void Coordinator::Impl::markAbandoned(WorkerEntry &Worker, bool Unseen) {
+  if (Worker.RunsAbandoned_ && (Worker.UnseenAbandoned_ || !Unseen))
     return;
   Worker.RunsAbandoned_ = true;
+  Worker.UnseenAbandoned_ = Worker.UnseenAbandoned_ || Unseen;
+  Worker.AbandonmentDurable_ = false;
   markUsedWorkersDirty();
 }
 
@@ -98,15 +103,17 @@
   if (Worker.RunsAbandoned_)
     AbandonedIncarnations_[Worker.Info_.Id_] = {
         Worker.Info_.Address_, Worker.Info_.StartTimeMs_,
-        Worker.AbandonedInEarlierTerm_, now()};
+        Worker.AbandonedInEarlierTerm_, Worker.UnseenAbandoned_, now()};
 }
 
 void Coordinator::Impl::restoreAbandonment(WorkerEntry &Worker) {
   auto It = AbandonedIncarnations_.find(Worker.Info_.Id_);
   if (It == AbandonedIncarnations_.end())
     return;
-  if (It->second.StartTimeMs_ == Worker.Info_.StartTimeMs_) {
+  if (It->second.Unseen_ ||
+      It->second.StartTimeMs_ == Worker.Info_.StartTimeMs_) {
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ = true;
+    Worker.UnseenAbandoned_ = It->second.Unseen_;
     Worker.AbandonedInEarlierTerm_ = It->second.InEarlierTerm_;
   }
   AbandonedIncarnations_.erase(It);
@@ -158,6 +165,8 @@
   if (Worker.HeldBackSequence_ != 0)
     return;
   Worker.HeldBackSequence_ = Result.SequenceNumber_;
+  // Later terms must hold it back as well.
+  markAbandoned(Worker, false);
   Metrics_
       .counter("crocuslead_held_back_workers_total",
                "Workers with a result that must not be acknowledged.")
@@ -175,7 +184,7 @@
 bool Coordinator::Impl::areResultsVoid(WorkerEntry &Worker) {
   if (Worker.HeldBackSequence_ == 0 || !hasLeaseEnded(Worker))
     return false;
-  markAbandoned(Worker);
+  markAbandoned(Worker, false);
   return Worker.AbandonmentDurable_;
 }
 
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocuslead::jobs {
 
@@ -53,6 +54,8 @@
     }
     for (const StepEntry &Step : Occurrence.Steps_)
       for (const TaskEntry &Task : Step.Tasks_) {
+        if (Task.Located_ && !Task.Done_)
+          Out.LocatedTasks_.push_back(Task.Position_);
         if (Task.Done_)
           Out.DoneTasks_.push_back(Task.Position_);
         else if (!Task.FailedRuns_.empty() || !Task.Checkpoint_.empty() ||
@@ -87,14 +90,35 @@
     auto Earlier = EarlierLeases_.find(Worker->Info_.Id_);
     if (StartTimeMs == 0 && Earlier != EarlierLeases_.end())
       StartTimeMs = Earlier->second.StartTimeMs_;
-    Out.push_back({Worker->Info_.Id_, Worker->Info_.Address_, StartTimeMs,
-                   MayHoldLongestLease, Worker->RunsAbandoned_,
-                   !Worker->MayHoldLease_ && !MayHoldLongestLease,
-                   recordedLeaseLeft(*Worker), Settings_.Term_});
+    auto Unlocated = UnlocatedRuns_.find(Worker->Info_.Id_);
+    internal::UsedWorker Row;
+    Row.Id_ = Worker->Info_.Id_;
+    Row.Address_ = Worker->Info_.Address_;
+    Row.StartTimeMs_ = StartTimeMs;
+    Row.MayHoldLongestLease_ = MayHoldLongestLease;
+    Row.RunsAbandoned_ = Worker->RunsAbandoned_;
+    Row.UnseenAbandoned_ = Worker->UnseenAbandoned_;
+    Row.LeaseEnded_ = !Worker->MayHoldLease_ && !MayHoldLongestLease;
+    Row.LeaseLeft_ = recordedLeaseLeft(*Worker);
+    Row.LeaseLeftTerm_ = Settings_.Term_;
+    if (Unlocated != UnlocatedRuns_.end())
+      Row.UnlocatedLeft_ = Unlocated->second.End_ - now();
+    else if (Row.LeaseLeft_)
+      Row.UnlocatedLeft_ = base::Duration{};
+    Out.push_back(std::move(Row));
+  }
+  for (const auto &[Id, Gone] : AbandonedIncarnations_) {
+    internal::UsedWorker Row;
+    Row.Id_ = Id;
+    Row.Address_ = Gone.Address_;
+    Row.StartTimeMs_ = Gone.StartTimeMs_;
+    Row.RunsAbandoned_ = Row.LeaseEnded_ = true;
+    Row.UnseenAbandoned_ = Gone.Unseen_;
+    if (auto Unlocated = UnlocatedRuns_.find(Id);
+        Unlocated != UnlocatedRuns_.end())
+      Row.UnlocatedLeft_ = Unlocated->second.End_ - now();
+    Out.push_back(std::move(Row));
   }
-  for (const auto &[Id, Gone] : AbandonedIncarnations_)
-    Out.push_back(
-        {Id, Gone.Address_, Gone.StartTimeMs_, false, true, true, {}, 0});
   return Out;
 }
 
@@ -128,14 +152,16 @@
     Batch.Writes_.emplace_back(UsedWorkersKey,
                                internal::encodeUsedWorkers(Rows));
     for (WorkerEntry *Worker : WorkerOrder_) {
+      InFlightCommit::Row Row{Worker->Info_.Id_, Worker->Info_.StartTimeMs_,
+                              Worker->UnseenAbandoned_};
       if (Worker->MayHoldLease_ && !recordedLeaseLeft(*Worker)) {
-        InFlightCommit_->LeaseHolders_.push_back(Worker->Info_.Id_);
+        InFlightCommit_->LeaseHolders_.push_back(Row);
       } else {
         Worker->RecordDurable_ = false;
         Worker->GrantsExcluded_ = true;
       }
       if (Worker->RunsAbandoned_)
-        InFlightCommit_->AbandonedWorkers_.push_back(Worker->Info_.Id_);
+        InFlightCommit_->AbandonedWorkers_.push_back(std::move(Row));
     }
   }
   while (!DirtyJobs_.empty() &&
@@ -166,6 +192,7 @@
   }
   if (Result == CommitResult::Unconfirmed) {
     CommitRetryAt_ = now() + CommitRetryDelay;
+    CommitsFail_ = true;
     if (Finished.RecordsUsedWorkers_)
       markUsedWorkersDirty();
     for (const auto &[Id, Version] : Finished.Versions_)
@@ -175,20 +202,28 @@
       }
     return;
   }
+  CommitsFail_ = false;
   ++Commits_;
   CommitTime_ += now() - Finished.SentAt_;
   if (Finished.RecordsUsedWorkers_)
     MaxRecordedHolders_ = Finished.RecordedHolders_;
-  for (const std::string &Id : Finished.LeaseHolders_)
-    if (auto It = Workers_.find(Id);
-        It != Workers_.end() && It->second->MayHoldLease_) {
-      It->second->RecordDurable_ = true;
-      It->second->GrantsExcluded_ = false;
+  auto FindRecorded = [this](const InFlightCommit::Row &Row) {
+    auto It = Workers_.find(Row.Id_);
+    return It != Workers_.end() ? It->second.get() : nullptr;
+  };
+  for (const InFlightCommit::Row &Row : Finished.LeaseHolders_)
+    if (WorkerEntry *Worker = FindRecorded(Row);
+        Worker != nullptr && Worker->MayHoldLease_) {
+      Worker->GrantsExcluded_ = false;
       PlacementRequested_ = true;
+      if (!std::exchange(Worker->RecordDurable_, true))
+        recordLocations(*Worker);
     }
-  for (const std::string &Id : Finished.AbandonedWorkers_)
-    if (auto It = Workers_.find(Id); It != Workers_.end())
-      It->second->AbandonmentDurable_ = It->second->RunsAbandoned_;
+  for (const InFlightCommit::Row &Row : Finished.AbandonedWorkers_)
+    if (WorkerEntry *Worker = FindRecorded(Row);
+        Worker != nullptr &&
+        (Row.UnseenAbandoned_ || !Worker->UnseenAbandoned_))
+      Worker->AbandonmentDurable_ = Worker->RunsAbandoned_;
   for (const auto &[Id, Version] : Finished.Versions_) {
     JobEntry *Job = findJob(Id);
     if (Job == nullptr)
--- a/src/jobs/internal/Handover.cpp
+++ b/src/jobs/internal/Handover.cpp
@@ -13,6 +13,8 @@
 using nlohmann::json;
 
 constexpr std::size_t RowSize = 4;
+// With the runs that are not located.
+constexpr std::size_t UnlocatedRowSize = 6;
 // The value of a store's key is limited to 1 MiB of base64 text, which is a
 // third longer than the record.
 constexpr std::size_t MaxRecordBytes = 700'000;
@@ -21,17 +23,25 @@
   std::unordered_map<std::string, std::size_t> Indexes;
   json Jobs = json::array();
   json Workers = json::array();
+  auto IndexesOf = [&](const std::optional<std::vector<std::string>> &Of) {
+    json Out;
+    if (!WithJobs || !Of)
+      return Out;
+    Out = json::array();
+    for (const std::string &Job : *Of) {
+      auto [It, Added] = Indexes.emplace(Job, Indexes.size());
+      if (Added)
+        Jobs.push_back(Job);
+      Out.push_back(It->second);
+    }
+    return Out;
+  };
   for (const HandedOverWorker &Each : From.Workers_) {
     json Row = {Each.Id_, Each.StartTimeMs_, leaseLeftMillis(Each.LeaseLeft_),
-                nullptr};
-    if (WithJobs && Each.Jobs_) {
-      Row[3] = json::array();
-      for (const std::string &Job : *Each.Jobs_) {
-        auto [It, Added] = Indexes.emplace(Job, Indexes.size());
-        if (Added)
-          Jobs.push_back(Job);
-        Row[3].push_back(It->second);
-      }
+                IndexesOf(Each.Jobs_)};
+    if (Each.UnlocatedLeft_) {
+      Row.push_back(leaseLeftMillis(*Each.UnlocatedLeft_));
+      Row.push_back(IndexesOf(Each.UnlocatedJobs_));
     }
     Workers.push_back(std::move(Row));
   }
@@ -42,28 +52,41 @@
       .dump();
 }
 
+//! Reads the ids of jobs, or null, into Out. False if they have another shape.
+bool decodeJobs(const json &Indexes, const json &Jobs,
+                std::optional<std::vector<std::string>> &Out) {
+  if (Indexes.is_null())
+    return true;
+  if (!Indexes.is_array())
+    return false;
+  Out.emplace();
+  for (const json &Index : Indexes) {
+    if (!Index.is_number_unsigned() ||
+        Index.get<std::size_t>() >= Jobs.size() ||
+        !Jobs[Index.get<std::size_t>()].is_string())
+      return false;
+    Out->push_back(Jobs[Index.get<std::size_t>()].get<std::string>());
+  }
+  return true;
+}
+
 std::optional<HandedOverWorker> decodeRow(const json &Row, const json &Jobs) {
   if (!Row.is_array() || Row.size() < RowSize || !Row[0].is_string() ||
-      !Row[1].is_number_integer() || !Row[2].is_number_integer() ||
-      (!Row[3].is_null() && !Row[3].is_array()))
+      !Row[1].is_number_integer() || !Row[2].is_number_integer())
     return std::nullopt;
   auto LeaseLeft = leaseLeftOf(Row[2].get<int64_t>());
-  if (!LeaseLeft)
-    return std::nullopt;
   HandedOverWorker Out;
   Out.Id_ = Row[0].get<std::string>();
   Out.StartTimeMs_ = Row[1].get<int64_t>();
+  if (!LeaseLeft || !decodeJobs(Row[3], Jobs, Out.Jobs_))
+    return std::nullopt;
   Out.LeaseLeft_ = *LeaseLeft;
-  if (Row[3].is_null())
+  if (Row.size() < UnlocatedRowSize)
     return Out;
-  Out.Jobs_.emplace();
-  for (const json &Index : Row[3]) {
-    if (!Index.is_number_unsigned() ||
-        Index.get<std::size_t>() >= Jobs.size() ||
-        !Jobs[Index.get<std::size_t>()].is_string())
-      return std::nullopt;
-    Out.Jobs_->push_back(Jobs[Index.get<std::size_t>()].get<std::string>());
-  }
+  if (!Row[4].is_number_integer() ||
+      !decodeJobs(Row[5], Jobs, Out.UnlocatedJobs_))
+    return std::nullopt;
+  Out.UnlocatedLeft_ = leaseLeftOf(Row[4].get<int64_t>());
   return Out;
 }
 
--- a/src/jobs/internal/Handover.h
+++ b/src/jobs/internal/Handover.h
@@ -18,6 +18,11 @@
   //! Ids of the jobs of which it may run a task or hold a result that is not
   //! durable; unset if any job may be among them.
   std::optional<std::vector<std::string>> Jobs_;
+  //! Runs that are not located end at most this long after the handover was
+  //! written. Unset if an earlier version wrote it.
+  std::optional<base::Duration> UnlocatedLeft_;
+  //! The jobs of these; unset if any may be among them.
+  std::optional<std::vector<std::string>> UnlocatedJobs_;
 };
 
 //! The last record of a coordinator that resigned. It grants no lease and
@@ -30,8 +35,9 @@
 };
 
 //! A JSON object: term, fenced, the ids of all jobs, and a row for each worker
-//! with id, start time, milliseconds of lease left and the indexes of its jobs
-//! or null.
+//! with id, start time, milliseconds of lease left, the indexes of its jobs or
+//! null, milliseconds for runs that are not located, and the indexes of their
+//! jobs or null.
 std::string encodeHandover(const Handover &From);
 //! Leaves out rows of another shape; empty if the record as a whole is
 //! unreadable. Both are logged.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -2,6 +2,7 @@
 
 #include "jobs/Coordinator.h"
 #include "jobs/internal/CongestionControl.h"
+#include "jobs/internal/Handover.h"
 #include "jobs/internal/Tables.h"
 #include "jobs/internal/TermConfirmation.h"
 #include "jobs/internal/UnplaceableSteps.h"
@@ -141,6 +142,27 @@
   RunEntry *findRunOnWorker(WorkerEntry &Worker, const TaskId &Id,
                             uint64_t Number);
 
+  // Locations.cpp: runs whose start only the worker's present incarnation can
+  // have taken.
+  void noteLocated(RunEntry &Run);
+  void recordLocations(const WorkerEntry &Worker);
+  void recordLocation(const RunEntry &Run);
+  //! So that the task may start again.
+  void revokeLocation(JobEntry &Job, TaskEntry &Task);
+  void revokeLocations(JobEntry &Job);
+  //! Runs of earlier terms on a worker that has not answered, which are not
+  //! located.
+  struct UnlocatedRuns {
+    base::TimePoint End_;
+    //! Their jobs; unset if that may be any.
+    std::optional<std::vector<std::string>> Jobs_;
+  };
+  bool mayRunUnlocated(const std::string &WorkerId) const;
+  //! Until their results are recorded not to count.
+  bool mustRecordUnlocated(const std::string &WorkerId) const;
+  //! No record says that the task is located.
+  bool mayStartUnlocated(const JobEntry &Job, const TaskEntry &Task) const;
+
   // Progress.cpp: stalled runs, stragglers and repeated stops.
   static bool isStopDue(const RunEntry &Run, base::TimePoint Now);
   bool isProgressReliable(const RunEntry &Run) const;
@@ -209,11 +231,27 @@
   static bool hasRecovered(const JobEntry &Job) {
     return !Job.Restored_ || Job.RecoveredAt_;
   }
+  static bool hasRecovered(const JobEntry &Job, const TaskEntry &Task) {
+    return hasRecovered(Job) || (Job.LocatedRecovered_ && Task.WasLocated_);
+  }
   //! It may be running tasks, or have results, that this term has not seen.
   bool mayRunUnseen(const WorkerEntry &Worker) const;
+  internal::HandedOverWorker handedOver(const WorkerEntry &Worker) const;
   void updateUnseenRuns();
-  //! Lets the tasks of all jobs but these start.
-  void noteRecovered(const std::unordered_set<std::string> &UnseenJobs);
+  //! Jobs whose runs may go on where this term does not see it.
+  struct UnseenJobs {
+    bool AnyJob_ = false;
+    std::unordered_set<std::string> Ids_;
+
+    void add(const std::optional<std::vector<std::string>> &Jobs);
+    bool contains(const std::string &Id) const {
+      return AnyJob_ || Ids_.count(Id) > 0;
+    }
+    std::pair<bool, std::size_t> size() const { return {AnyJob_, Ids_.size()}; }
+  };
+  //! Lets the tasks of all other jobs start. Located are the jobs whose located
+  //! tasks may be running, Unlocated those whose other tasks may.
+  void noteRecovered(const UnseenJobs &Located, const UnseenJobs &Unlocated);
   void logRecoveryWait() const;
   //! Unfinished jobs whose tasks wait until the job has recovered.
   int64_t countHeldBackJobs() const;
@@ -221,6 +259,7 @@
   //! durable; empty if any job may be among them.
   std::optional<std::vector<std::string>>
   possibleJobs(const WorkerEntry &Worker) const;
+  void abandonEarlierRuns(WorkerEntry &Worker, bool Unseen);
   void updateRecovery();
 
   // Terms.cpp: whether this term is still the latest.
@@ -246,7 +285,8 @@
   void expireUnreachableWorkers();
   void expireIfUnreachable(const std::string &Id);
   bool abandonRuns(WorkerEntry &Worker);
-  void markAbandoned(WorkerEntry &Worker);
+  //! Unseen says that runs are given up that are not located.
+  void markAbandoned(WorkerEntry &Worker, bool Unseen);
   void rememberAbandonment(const WorkerEntry &Worker);
   void restoreAbandonment(WorkerEntry &Worker);
   void forgetOldIncarnations();
@@ -420,6 +460,8 @@
     std::string Address_;
     int64_t StartTimeMs_ = 0;
     bool InEarlierTerm_ = false;
+    //! UnseenAbandoned_ of its entry.
+    bool Unseen_ = false;
     base::TimePoint GoneSince_;
   };
   std::unordered_map<std::string, AbandonedIncarnation> AbandonedIncarnations_;
@@ -473,10 +515,13 @@
   //! The coordinator of the term before has resigned, and had fenced those
   //! before it.
   bool PredecessorResigned_ = false;
-  //! Workers for which mayRunUnseen() holds, and the number of their jobs
-  //! when it was last known.
+  //! Workers for which mayRunUnseen() holds, and UnseenJobs::size() of their
+  //! jobs.
   std::size_t UnseenWorkerCount_ = 0;
-  std::optional<std::size_t> UnseenJobCount_;
+  std::pair<bool, std::size_t> LocatedSize_{true, 0};
+  std::pair<bool, std::size_t> UnlocatedSize_{true, 0};
+  //! By worker id.
+  std::map<std::string, UnlocatedRuns> UnlocatedRuns_;
   base::TimePoint NextRecoveryReportAt_;
   //! The steps for which workers are reserved: some with lost runs, and at most
   //! one other.
@@ -491,6 +536,8 @@
   std::deque<std::string> DirtyJobs_;
   base::TimePoint DirtyJobsSince_;
   bool CommitUrgent_ = false;
+  //! The last commit was not confirmed.
+  bool CommitsFail_ = false;
   bool UsedWorkersDirty_ = false;
   base::TimePoint UsedWorkersDirtySince_;
   struct InFlightCommit {
@@ -500,10 +547,15 @@
     bool RecordsUsedWorkers_ = false;
     //! Number of rows without LeaseEnded_.
     std::size_t RecordedHolders_ = 0;
+    struct Row {
+      std::string Id_;
+      int64_t StartTimeMs_ = 0;
+      bool UnseenAbandoned_ = false;
+    };
     //! Workers that are recorded as holding a lease.
-    std::vector<std::string> LeaseHolders_;
+    std::vector<Row> LeaseHolders_;
     //! Workers that are recorded with RunsAbandoned_.
-    std::vector<std::string> AbandonedWorkers_;
+    std::vector<Row> AbandonedWorkers_;
   };
   std::optional<InFlightCommit> InFlightCommit_;
   uint64_t NextCommitNumber_ = 1;
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -101,6 +101,13 @@
       if (StepEntry *Step = findStep(Job, Position))
         completeTask(Job, *Step, Step->Tasks_[Position.Index_]);
     }
+    for (const TaskPosition &Position : Progress->LocatedTasks_) {
+      createStartedOccurrence(Job, Position.Occurrence_);
+      if (StepEntry *Step = findStep(Job, Position)) {
+        TaskEntry &Task = Step->Tasks_[Position.Index_];
+        Task.Located_ = Task.WasLocated_ = true;
+      }
+    }
     for (const auto &[Position, Unfinished] : Progress->UnfinishedTasks_) {
       createStartedOccurrence(Job, Position.Occurrence_);
       if (StepEntry *Step = findStep(Job, Position)) {
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -155,6 +155,7 @@
   bool FirstAnswer = !std::exchange(Worker.Polled_, true);
   if (FirstAnswer) {
     fencePredecessors(Worker);
+    UnlocatedRuns_.erase(Worker.Info_.Id_);
     if (Worker.Info_.StartTimeMs_ == 0)
       expectEarlierLease(Worker);
     PlacementRequested_ = true;
@@ -176,7 +177,7 @@
       adoptRun(Worker, Status);
       continue;
     }
-    Run->Located_ = true;
+    noteLocated(*Run);
     noteExists(*Run, Report.ClockMs_);
     if (Run->ProgressPercent_ != Status.ProgressPercent_ ||
         Run->Checkpoint_ != Status.Checkpoint_)
@@ -236,12 +237,16 @@
         Result.Outcome_ == RunOutcome::LeaseExpired)
       releaseHeldBack(Worker);
   }
-  if (Worker.RunsAbandoned_ && Worker.HeldBackSequence_ == 0 &&
-      !Report.Truncated_) {
-    Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
-        Worker.AbandonedInEarlierTerm_ = false;
+  if (!Worker.RunsAbandoned_ || Report.Truncated_)
+    return;
+  // All results that may count twice are in this list.
+  if (std::exchange(Worker.UnseenAbandoned_, false))
     markUsedWorkersDirty();
-  }
+  if (Worker.HeldBackSequence_ != 0)
+    return;
+  Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
+      Worker.AbandonedInEarlierTerm_ = false;
+  markUsedWorkersDirty();
 }
 
 // A result is acknowledged once the progress that it made is durable.
@@ -320,7 +325,8 @@
   RunEntry &Run = addRun(Step, *Task, Worker, Status.Run_);
   Task->LastRun_ = std::max(Task->LastRun_, Status.Run_);
   Run.Phase_ = RunPhase::Running;
-  Run.Adopted_ = Run.Located_ = true;
+  Run.Adopted_ = true;
+  noteLocated(Run);
   if (Step.Spec_->BestEffort_)
     Run.SpeedPercent_ = internal::UnknownSpeed;
   Run.ProgressPercent_ = Status.ProgressPercent_;
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -25,6 +25,8 @@
   for (auto &[Id, Worker] : Workers_) {
     Worker->MayObeyPredecessor_ =
         Worker->MayHoldLease_ || !UsedWorkersComplete_;
+    if (Worker->MayObeyPredecessor_)
+      UnlocatedRuns_.emplace(Id, UnlocatedRuns{now() + longestLeaseTime(), {}});
     if (!UsedWorkersComplete_)
       RecordedHolders_.insert(Id);
   }
@@ -60,9 +62,11 @@
     bool Listed = Workers_.count(Used.Id_) > 0;
     if (!Listed && Used.LeaseEnded_) {
       EarlierLeases_[Used.Id_] = {now(), Used.StartTimeMs_};
+      if (Used.UnlocatedLeft_)
+        UnlocatedRuns_[Used.Id_] = {now() + *Used.UnlocatedLeft_, {}};
       if (Used.RunsAbandoned_)
         AbandonedIncarnations_[Used.Id_] = {Used.Address_, Used.StartTimeMs_,
-                                            true, now()};
+                                            true, Used.UnseenAbandoned_, now()};
       continue;
     }
     if (!Listed) {
@@ -80,9 +84,12 @@
       expectLongestLease(Worker, now() + lastLeaseAfterTerm());
     // A term between the two may have run an earlier version, which does not
     // read the rest and grants leases all the same.
-    else if (Used.LeaseLeft_ && Used.LeaseLeftTerm_ == Settings_.PreviousTerm_)
+    else if (Used.LeaseLeft_ &&
+             Used.LeaseLeftTerm_ == Settings_.PreviousTerm_) {
       Worker.RecordedLeaseEnd_ = now() + *Used.LeaseLeft_;
-    else if (Used.MayHoldLongestLease_)
+      if (Used.UnlocatedLeft_)
+        UnlocatedRuns_[Used.Id_] = {now() + *Used.UnlocatedLeft_, {}};
+    } else if (Used.MayHoldLongestLease_)
       expectLongestLease(Worker, now());
     Worker.MayHoldLease_ = !Used.LeaseEnded_ || !SameIncarnation;
     Worker.GrantsExcluded_ = Used.LeaseEnded_ || Used.LeaseLeft_;
@@ -93,8 +100,12 @@
           *Worker.RecordedLeaseEnd_;
     if (!Used.LeaseEnded_)
       RecordedHolders_.insert(Used.Id_);
+    // The registry may lag behind the record, so the note binds whichever
+    // incarnation answers.
     Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
-        Worker.AbandonedInEarlierTerm_ = Used.RunsAbandoned_ && SameIncarnation;
+        Worker.AbandonedInEarlierTerm_ = Used.RunsAbandoned_;
+    Worker.UnseenAbandoned_ =
+        Used.RunsAbandoned_ && (Used.UnseenAbandoned_ || !SameIncarnation);
   }
 }
 
@@ -120,6 +131,9 @@
       Worker.LatestLeaseEnd_ = std::min(Worker.LatestLeaseEnd_, End);
       Worker.LongestLeaseUntil_ = std::min(Worker.LongestLeaseUntil_, End);
       Worker.PossibleJobs_ = std::move(Each.Jobs_);
+      if (Each.UnlocatedLeft_)
+        UnlocatedRuns_[Each.Id_] = {now() + *Each.UnlocatedLeft_,
+                                    std::move(Each.UnlocatedJobs_)};
       ++Bounded;
     }
   }
@@ -140,48 +154,84 @@
          (Worker.MayHoldLease_ && !Worker.AbandonmentDurable_);
 }
 
+void Coordinator::Impl::UnseenJobs::add(
+    const std::optional<std::vector<std::string>> &Jobs) {
+  if (Jobs)
+    Ids_.insert(Jobs->begin(), Jobs->end());
+  else
+    AnyJob_ = true;
+}
+
 // Tasks of a restored job start once no worker that has not answered can be
 // running one of them.
 void Coordinator::Impl::updateUnseenRuns() {
   UnseenWorkerCount_ = 0;
-  bool AnyJob = false;
-  std::unordered_set<std::string> Jobs;
-  for (const WorkerEntry *Worker : WorkerOrder_) {
-    if (!mayRunUnseen(*Worker))
+  UnseenJobs Located;
+  UnseenJobs Unlocated;
+  for (const WorkerEntry *Worker : WorkerOrder_)
+    if (mayRunUnseen(*Worker)) {
+      ++UnseenWorkerCount_;
+      Located.add(Worker->PossibleJobs_);
+    }
+  for (auto It = UnlocatedRuns_.begin(); It != UnlocatedRuns_.end();) {
+    if (mayRunUnlocated(It->first)) {
+      if (now() >= It->second.End_)
+        abandonEarlierRuns(*Workers_.at(It->first), true);
+      Unlocated.add(It->second.Jobs_);
+      ++It;
       continue;
-    ++UnseenWorkerCount_;
-    if (Worker->PossibleJobs_)
-      Jobs.insert(Worker->PossibleJobs_->begin(), Worker->PossibleJobs_->end());
-    else
-      AnyJob = true;
+    }
+    if (!It->second.Jobs_ || !It->second.Jobs_->empty())
+      base::logEvent(base::LogLevel::Info, "unlocated-runs-over",
+                     {{"worker", It->first},
+                      {"term", Settings_.Term_},
+                      {"jobs_known", It->second.Jobs_.has_value()}});
+    It = UnlocatedRuns_.erase(It);
   }
-  if (!AnyJob && std::exchange(UnseenJobCount_, Jobs.size()) != Jobs.size())
-    noteRecovered(Jobs);
+  bool Changed = std::exchange(LocatedSize_, Located.size()) != Located.size();
+  Changed =
+      std::exchange(UnlocatedSize_, Unlocated.size()) != Unlocated.size() ||
+      Changed;
+  if (Changed)
+    noteRecovered(Located, Unlocated);
 }
 
-void Coordinator::Impl::noteRecovered(
-    const std::unordered_set<std::string> &UnseenJobs) {
-  for (auto &[Id, Job] : Jobs_)
-    if (!hasRecovered(*Job) && UnseenJobs.count(Id) == 0)
+void Coordinator::Impl::noteRecovered(const UnseenJobs &Located,
+                                      const UnseenJobs &Unlocated) {
+  for (auto &[Id, Job] : Jobs_) {
+    if (hasRecovered(*Job) || Located.contains(Id))
+      continue;
+    Job->LocatedRecovered_ = true;
+    if (!Unlocated.contains(Id))
       Job->RecoveredAt_ = now();
+    revokeLocations(*Job);
+  }
   drainWorkers();
   PlacementRequested_ = true;
 }
 
+// What it ran is started again, so its results must not count.
+void Coordinator::Impl::abandonEarlierRuns(WorkerEntry &Worker, bool Unseen) {
+  markAbandoned(Worker, Unseen);
+  Worker.AbandonedInEarlierTerm_ = true;
+}
+
 void Coordinator::Impl::updateRecovery() {
-  if (!Recovering_)
+  if (!Recovering_) {
+    if (UnlocatedSize_ != UnseenJobs().size())
+      updateUnseenRuns();
     return;
+  }
   bool AllAnswered = true;
   for (auto &[Id, Worker] : Workers_) {
-    if (Worker->Polled_ || !Worker->MayHoldLease_ ||
-        (Worker->PossibleJobs_ && Worker->PossibleJobs_->empty()))
+    bool Unlocated = mayRunUnlocated(Id);
+    bool NoJob = Worker->PossibleJobs_ && Worker->PossibleJobs_->empty();
+    if (Worker->Polled_ || !Worker->MayHoldLease_ || (NoJob && !Unlocated))
       continue;
-    AllAnswered = false;
+    AllAnswered = AllAnswered && NoJob;
     if (now() < leaseEnd(*Worker))
       continue;
-    // What it ran is started again, so its results must not count.
-    markAbandoned(*Worker);
-    Worker->AbandonedInEarlierTerm_ = true;
+    abandonEarlierRuns(*Worker, Unlocated);
   }
   updateUnseenRuns();
   if (UnseenWorkerCount_ == 0) {
@@ -216,23 +266,24 @@
   }
   if (Last == nullptr)
     return;
-  base::logEvent(base::LogLevel::Warn, "recovery-waiting",
-                 {{"term", Settings_.Term_},
-                  {"waited_ms", base::toMillis(now() - RecoveryStartedAt_)},
-                  {"listed_workers", Listed},
-                  {"unlisted_workers", Unlisted},
-                  {"predecessors_fenced", PredecessorLeases_.fenced()},
-                  {"held_back_jobs", countHeldBackJobs()},
-                  {"worker", Last->Info_.Id_},
-                  {"draining", Last->Info_.Draining_},
-                  {"jobs_known", Last->PossibleJobs_.has_value()},
-                  {"lease_end_recorded", Last->RecordedLeaseEnd_.has_value()},
-                  {"lease_left_ms", base::toMillis(leaseEnd(*Last) - now())}});
+  base::logEvent(
+      base::LogLevel::Warn, "recovery-waiting",
+      {{"term", Settings_.Term_},
+       {"waited_ms", base::toMillis(now() - RecoveryStartedAt_)},
+       {"listed_workers", Listed},
+       {"unlisted_workers", Unlisted},
+       {"predecessors_fenced", PredecessorLeases_.fenced()},
+       {"held_back_jobs", countHeldBackJobs()},
+       {"worker", Last->Info_.Id_},
+       {"draining", Last->Info_.Draining_},
+       {"jobs_known", Last->PossibleJobs_.has_value()},
+       {"unlocated_workers", static_cast<int64_t>(UnlocatedRuns_.size())},
+       {"lease_end_recorded", Last->RecordedLeaseEnd_.has_value()},
+       {"lease_left_ms", base::toMillis(leaseEnd(*Last) - now())}});
 }
 
 void Coordinator::Impl::endRecovery(const char *Reason) {
   Recovering_ = false;
-  noteRecovered({});
   base::logEvent(base::LogLevel::Info, "recovery-finished",
                  {{"reason", Reason},
                   {"took_ms", base::toMillis(now() - RecoveryStartedAt_)},
@@ -260,12 +311,32 @@
   Out.PredecessorsFenced_ = PredecessorLeases_.fenced();
   for (const WorkerEntry *Worker : WorkerOrder_)
     if (Worker->MayHoldLease_ || now() < leaseEnd(*Worker))
-      Out.Workers_.push_back({Worker->Info_.Id_, Worker->Info_.StartTimeMs_,
-                              leaseEnd(*Worker) - now(),
-                              possibleJobs(*Worker)});
+      Out.Workers_.push_back(handedOver(*Worker));
   return internal::encodeHandover(Out);
 }
 
+internal::HandedOverWorker
+Coordinator::Impl::handedOver(const WorkerEntry &Worker) const {
+  internal::HandedOverWorker Out;
+  Out.Id_ = Worker.Info_.Id_;
+  Out.StartTimeMs_ = Worker.Info_.StartTimeMs_;
+  Out.LeaseLeft_ = leaseEnd(Worker) - now();
+  Out.Jobs_ = possibleJobs(Worker);
+  auto Unseen = UnlocatedRuns_.find(Worker.Info_.Id_);
+  if (!Worker.Polled_ && Unseen != UnlocatedRuns_.end()) {
+    Out.UnlocatedLeft_ = Unseen->second.End_ - now();
+    Out.UnlocatedJobs_ = Unseen->second.Jobs_;
+    return Out;
+  }
+  Out.UnlocatedLeft_ = unlocatedRunEnd(Worker) - now();
+  std::set<std::string> Jobs;
+  for (const RunEntry *Run : Worker.Runs_)
+    if (!Run->Located_)
+      Jobs.insert(Run->Job_->Id_);
+  Out.UnlocatedJobs_.emplace(Jobs.begin(), Jobs.end());
+  return Out;
+}
+
 // A result that is not durable counts like a run: the next term does not know
 // of it before the worker lists it again. Results that are held back or not
 // listed, those of tasks that were given up, and runs of unknown tasks may be
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -113,8 +113,10 @@
   };
   Remove(Worker.Runs_);
   Remove(Task.Runs_);
-  if (Task.Runs_.empty())
+  if (Task.Runs_.empty()) {
     accountRun(Run, Task, Use);
+    revokeLocation(*Run.Job_, Task);
+  }
   enqueueStep(*Run.Step_);
   PlacementRequested_ = true;
   Runs_.erase(Run.Serial_);
@@ -205,7 +207,7 @@
       Run->PhaseSince_ = Run->StartedAt_ = Run->LastProgressAt_ = now();
     }
     if (By == Answerer::Present) {
-      Run->Located_ = true;
+      noteLocated(*Run);
       markReachable(Worker);
     } else {
       Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -114,6 +114,13 @@
   //! Version of the job that contains Crashes_.
   uint64_t CrashesVersion_ = 0;
   std::string Checkpoint_;
+  //! Recorded with the job's progress: all its runs are located, and it is not
+  //! started again before the record says otherwise.
+  bool Located_ = false;
+  //! Value of Located_ when the job was restored.
+  bool WasLocated_ = false;
+  //! Version of the job that last ended Located_.
+  uint64_t UnlocatedVersion_ = 0;
   std::vector<RunEntry *> Runs_;
   //! Highest number of a run that this coordinator started or found running.
   uint64_t LastRun_ = 0;
@@ -189,6 +196,8 @@
   bool Restored_ = false;
   //! When no such worker could run its tasks any more, if it was restored.
   std::optional<base::TimePoint> RecoveredAt_;
+  //! The same holds for its tasks with WasLocated_.
+  bool LocatedRecovered_ = false;
   bool Started_ = false;
   //! Counts the changes of the job's progress.
   uint64_t Version_ = 0;
@@ -292,7 +301,10 @@
   bool RunsAbandoned_ = false;
   //! That was in an earlier term, so it is not known which tasks run again.
   bool AbandonedInEarlierTerm_ = false;
-  //! RunsAbandoned_ is recorded in the store, so the tasks may run again.
+  //! Among them were runs that are not located, so their results may come from
+  //! an incarnation that nobody has seen yet.
+  bool UnseenAbandoned_ = false;
+  //! Both are recorded in the store, so the tasks may run again.
   bool AbandonmentDurable_ = false;
   //! The first result that must not be acknowledged; 0 if there is none. Until
   //! a lease has ended there while a task was running, the worker gets one task
--- a/src/jobs/internal/UsedWorkers.cpp
+++ b/src/jobs/internal/UsedWorkers.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t LeaseEndedIndex = 5;
 constexpr std::size_t LeaseLeftIndex = 6;
 constexpr std::size_t LeaseLeftTermIndex = 7;
+constexpr std::size_t UnlocatedLeftIndex = 8;
+constexpr std::size_t UnseenAbandonedIndex = 9;
 
 std::optional<UsedWorker> decodeRow(const json &Row) {
   if (!Row.is_array() || Row.size() < RowSize || !Row[0].is_string() ||
@@ -33,7 +35,16 @@
   Out.MayHoldLongestLease_ = Flag(LongestLeaseIndex);
   Out.RunsAbandoned_ = Flag(AbandonedIndex);
   Out.LeaseEnded_ = Flag(LeaseEndedIndex);
-  if (Row.size() > LeaseLeftIndex) {
+  Out.UnseenAbandoned_ = Flag(UnseenAbandonedIndex);
+  auto Has = [&](std::size_t Index) {
+    return Row.size() > Index && !Row[Index].is_null();
+  };
+  if (Has(UnlocatedLeftIndex)) {
+    if (!Row[UnlocatedLeftIndex].is_number_integer())
+      return std::nullopt;
+    Out.UnlocatedLeft_ = leaseLeftOf(Row[UnlocatedLeftIndex].get<int64_t>());
+  }
+  if (Has(LeaseLeftIndex)) {
     if (Row.size() <= LeaseLeftTermIndex ||
         !Row[LeaseLeftIndex].is_number_integer() ||
         !Row[LeaseLeftTermIndex].is_number_unsigned())
@@ -46,6 +57,10 @@
   return Out;
 }
 
+json millisOrNull(const std::optional<base::Duration> &Left) {
+  return Left ? json(leaseLeftMillis(*Left)) : json();
+}
+
 } // namespace
 
 std::string encodeUsedWorkers(const std::vector<UsedWorker> &Workers) {
@@ -53,15 +68,19 @@
   for (const UsedWorker &Each : Workers) {
     json Row = {Each.Id_, Each.Address_, Each.StartTimeMs_};
     if (Each.MayHoldLongestLease_ || Each.RunsAbandoned_ || Each.LeaseEnded_ ||
-        Each.LeaseLeft_) {
+        Each.LeaseLeft_ || Each.UnlocatedLeft_ || Each.UnseenAbandoned_) {
       Row.push_back(Each.MayHoldLongestLease_);
       Row.push_back(Each.RunsAbandoned_);
       Row.push_back(Each.LeaseEnded_);
     }
-    if (Each.LeaseLeft_) {
-      Row.push_back(leaseLeftMillis(*Each.LeaseLeft_));
-      Row.push_back(Each.LeaseLeftTerm_);
+    if (Each.LeaseLeft_ || Each.UnlocatedLeft_ || Each.UnseenAbandoned_) {
+      Row.push_back(millisOrNull(Each.LeaseLeft_));
+      Row.push_back(Each.LeaseLeft_ ? json(Each.LeaseLeftTerm_) : json());
     }
+    if (Each.UnlocatedLeft_ || Each.UnseenAbandoned_)
+      Row.push_back(millisOrNull(Each.UnlocatedLeft_));
+    if (Each.UnseenAbandoned_)
+      Row.push_back(true);
     Rows.push_back(std::move(Row));
   }
   return Rows.dump();
--- a/src/jobs/internal/UsedWorkers.h
+++ b/src/jobs/internal/UsedWorkers.h
@@ -28,6 +28,11 @@
   std::optional<base::Duration> LeaseLeft_;
   //! The term that wrote LeaseLeft_.
   uint64_t LeaseLeftTerm_ = 0;
+  //! With LeaseLeft_: runs that are not located end at most this long after the
+  //! record was written. Unset if an earlier version wrote the row.
+  std::optional<base::Duration> UnlocatedLeft_;
+  //! Results of runs that were given up may come from a later incarnation.
+  bool UnseenAbandoned_ = false;
 };
 
 struct UsedWorkers {
@@ -37,8 +42,9 @@
 };
 
 //! A JSON array with one row for each worker: id, address, start time and, if
-//! any is set, the flags in the order of UsedWorker, the milliseconds of
-//! LeaseLeft_ and its term.
+//! any is set, the flags MayHoldLongestLease_, RunsAbandoned_ and LeaseEnded_,
+//! the milliseconds of LeaseLeft_, its term, the milliseconds of UnlocatedLeft_
+//! and UnseenAbandoned_. Nulls stand for unset values before one that is set.
 std::string encodeUsedWorkers(const std::vector<UsedWorker> &Workers);
 //! Leaves out rows of another shape and logs them.
 UsedWorkers decodeUsedWorkers(const std::string &Record);
--- a/tests/jobs/Handover.tests.cpp
+++ b/tests/jobs/Handover.tests.cpp
@@ -8,6 +8,7 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using Jobs = std::vector<std::string>;
 
 } // namespace
 
@@ -15,10 +16,12 @@
   auto Read = decodeHandover(encodeHandover(
       {7,
        true,
-       {{"w1", 11, microseconds(1500), std::vector<std::string>{"a", "b"}},
-        {"w2", 12, microseconds(-5), std::vector<std::string>{"b"}},
-        {"w3", 13, milliseconds(9), std::vector<std::string>{}},
-        {"w4", 14, milliseconds(9), std::nullopt}}}));
+       {{"w1", 11, microseconds(1500), Jobs{"a", "b"}, milliseconds(7),
+         Jobs{"b", "c"}},
+        {"w2", 12, microseconds(-5), Jobs{"b"}, milliseconds(0), Jobs{}},
+        {"w3", 13, milliseconds(9), Jobs{}, milliseconds(3), std::nullopt},
+        {"w4", 14, milliseconds(9), std::nullopt, std::nullopt,
+         std::nullopt}}}));
   REQUIRE(Read);
   CHECK(Read->Term_ == 7);
   CHECK(Read->PredecessorsFenced_);
@@ -31,13 +34,21 @@
   CHECK(Read->Workers_[1].Jobs_ == std::vector<std::string>{"b"});
   CHECK(Read->Workers_[2].Jobs_ == std::vector<std::string>{});
   CHECK_FALSE(Read->Workers_[3].Jobs_);
+  CHECK(Read->Workers_[0].UnlocatedLeft_ == milliseconds(7));
+  CHECK(Read->Workers_[0].UnlocatedJobs_ == Jobs{"b", "c"});
+  CHECK(Read->Workers_[1].UnlocatedJobs_ == Jobs{});
+  CHECK(Read->Workers_[2].UnlocatedLeft_ == milliseconds(3));
+  CHECK_FALSE(Read->Workers_[2].UnlocatedJobs_);
+  CHECK_FALSE(Read->Workers_[3].UnlocatedLeft_);
 }
 
 TEST_CASE("A handover that would exceed the size of a stored value names no "
           "jobs") {
   Handover Large;
   for (int W = 0; W < 4'000; ++W) {
-    HandedOverWorker Worker{"w" + std::to_string(W), W, milliseconds(1), {}};
+    HandedOverWorker Worker;
+    Worker.Id_ = "w" + std::to_string(W);
+    Worker.LeaseLeft_ = milliseconds(1);
     Worker.Jobs_.emplace();
     for (int J = 0; J < 8; ++J)
       Worker.Jobs_->push_back("0123456789abcdef" + std::to_string(W * 8 + J));
@@ -63,6 +74,7 @@
   auto Read = decodeHandover(
       R"({"term":1,"fenced":false,"jobs":["a",7],"workers":[7,["w"],
           ["w",1,-1,[]],["w",1,1e300,[]],["w",1,2,[1]],["w",1,2,[2]],
+          ["w",1,2,[0],"9",[]],["w",1,2,[0],9,[2]],["w",1,2,[0],9,"x"],
           ["w",1,2,[-1]],["w",1,2,"x"],["w",1,2,[0]],["w",1,2,null]]})");
   REQUIRE(Read);
   CHECK(Read->Workers_.size() == 2);
