Withhold acknowledgements that a later incarnation of a worker could take

A poll acknowledges results by their number, and a later incarnation counts its own anew: it discarded the result of a run whose start it had taken, and the coordinator, which found the run neither running nor ended, started the task again. To callers that is a task that ran twice, to the platform a start after an end that was taken note of.

Polls acknowledge nothing while a run on the worker is not located, or while runs were given up that are not.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -174,6 +174,8 @@
   // Polls.cpp and Workers.cpp: polls, leases and incarnations of workers.
   WorkerEntry &addWorker(const WorkerInfo &Info);
   void pollDueWorkers();
+  //! What a poll may acknowledge.
+  static uint64_t acknowledgeableSequence(const WorkerEntry &Worker);
   void poll(WorkerEntry &Worker);
   bool needsPoll(const WorkerEntry &Worker) const;
   base::Duration pollWait(const WorkerEntry &Worker) const;
--- a/src/jobs/internal/Locations.cpp
+++ b/src/jobs/internal/Locations.cpp
@@ -12,8 +12,13 @@
 namespace crocuslead::jobs {
 
 void Coordinator::Impl::noteLocated(RunEntry &Run) {
-  if (!std::exchange(Run.Located_, true))
-    recordLocation(Run);
+  if (std::exchange(Run.Located_, true))
+    return;
+  recordLocation(Run);
+  WorkerEntry &Worker = *Run.Worker_;
+  if (acknowledgeableSequence(Worker) > Worker.SentAcknowledgedSequence_)
+    Worker.NextPollAt_ =
+        std::min(Worker.NextPollAt_, now() + Congestion_.pollPause());
 }
 
 void Coordinator::Impl::recordLocations(const WorkerEntry &Worker) {
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -46,12 +46,22 @@
                     Settings_.Times_.TailPollWait_, Settings_.Times_.PollWait_);
 }
 
+// A later incarnation counts its results anew and would discard the result of a
+// run that is not located.
+uint64_t Coordinator::Impl::acknowledgeableSequence(const WorkerEntry &Worker) {
+  bool AllLocated =
+      !Worker.UnseenAbandoned_ &&
+      std::all_of(Worker.Runs_.begin(), Worker.Runs_.end(),
+                  [](const RunEntry *Run) { return Run->Located_; });
+  return AllLocated ? Worker.AcknowledgedSequence_ : 0;
+}
+
 void Coordinator::Impl::poll(WorkerEntry &Worker) {
   if (Superseded_)
     return;
   PollRequest Request;
   Request.FencingToken_ = Settings_.Term_;
-  Request.AcknowledgedSequence_ = Worker.AcknowledgedSequence_;
+  Request.AcknowledgedSequence_ = acknowledgeableSequence(Worker);
   // After a failed poll the lease is not renewed: the worker may receive polls
   // although its replies are lost, and would keep its lease forever.
   if (Worker.Clock_ && Worker.PollFailures_ == 0 && !Worker.Runs_.empty() &&
@@ -71,7 +81,8 @@
   Worker.PollInFlight_ = true;
   Worker.PollSentAt_ = now();
   Worker.PollWait_ = Request.Wait_;
-  Worker.SentAcknowledgedSequence_ = Worker.AcknowledgedSequence_;
+  Worker.SentAcknowledgedSequence_ =
+      std::max(Worker.SentAcknowledgedSequence_, Request.AcknowledgedSequence_);
   uint64_t Serial = ++Worker.PollSerial_;
   ++Polls_;
   Port_.poll(addressOf(Worker), Request,
@@ -201,7 +212,10 @@
   updatePressure(Worker);
   throttleBestEffort(Worker);
   base::Duration Pause{};
-  bool HasUndurableResults = !Worker.PendingAcknowledgements_.empty();
+  // With an acknowledgement that was withheld it replies at once as well.
+  bool HasUndurableResults =
+      !Worker.PendingAcknowledgements_.empty() ||
+      acknowledgeableSequence(Worker) < Worker.AcknowledgedSequence_;
   bool IsLeaving = !Worker.Registered_ || Worker.Info_.Draining_;
   if (Worker.HeldBackSequence_ != 0 ||
       (IsLeaving && Worker.Runs_.empty() && !HasUndurableResults))
