Bind the record of a lease holder, and an unidentified entry, to one incarnation

Two gaps that were found by reading, without a run: a commit marked a worker's row durable by its id, also if the worker had restarted since the commit was made, so that tasks started on an incarnation that no record names; and an entry without a start time, as it is made when another worker answers at an address, took the reports of any incarnation for its own until the registry named one.

--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -207,9 +207,12 @@
   CommitTime_ += now() - Finished.SentAt_;
   if (Finished.RecordsUsedWorkers_)
     MaxRecordedHolders_ = Finished.RecordedHolders_;
+  // The worker may have restarted since the record was made.
   auto FindRecorded = [this](const InFlightCommit::Row &Row) {
     auto It = Workers_.find(Row.Id_);
-    return It != Workers_.end() ? It->second.get() : nullptr;
+    bool Same = It != Workers_.end() &&
+                It->second->Info_.StartTimeMs_ == Row.StartTimeMs_;
+    return Same ? It->second.get() : nullptr;
   };
   for (const InFlightCommit::Row &Row : Finished.LeaseHolders_)
     if (WorkerEntry *Worker = FindRecorded(Row);
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -167,8 +167,10 @@
   if (FirstAnswer) {
     fencePredecessors(Worker);
     UnlocatedRuns_.erase(Worker.Info_.Id_);
-    if (Worker.Info_.StartTimeMs_ == 0)
+    if (Worker.Info_.StartTimeMs_ == 0) {
       expectEarlierLease(Worker);
+      Worker.Info_.StartTimeMs_ = Report.StartTimeMs_;
+    }
     PlacementRequested_ = true;
   }
   bool Emptied = isEmptied(Worker, Report);
