Keep the wait for unseen runs over two takeovers in a row

A second successor started a task beside a run of two terms before: once the first one had waited for the usual lease, the row of the worker said that none was left, and the rest of the wait for runs that are not located was read only beside the rest of a lease.

The rest is now read from every row. tests/jobs: 'A second successor makes no second run ...' fails before, after a crash and after a handover.

--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -91,6 +91,8 @@
         UnlocatedRuns_[Used.Id_] = {now() + *Used.UnlocatedLeft_, {}};
     } else if (Used.MayHoldLongestLease_)
       expectLongestLease(Worker, now());
+    if (Used.LeaseEnded_ && Used.UnlocatedLeft_)
+      UnlocatedRuns_[Used.Id_] = {now() + *Used.UnlocatedLeft_, {}};
     Worker.MayHoldLease_ = !Used.LeaseEnded_ || !SameIncarnation;
     Worker.GrantsExcluded_ = Used.LeaseEnded_ || Used.LeaseLeft_;
     Worker.RecordDurable_ = !Worker.GrantsExcluded_ && SameIncarnation;
--- a/tests/jobs/Restarts.tests.cpp
+++ b/tests/jobs/Restarts.tests.cpp
@@ -192,6 +192,23 @@
   requireNoViolations(Case.World_);
 }
 
+TEST_CASE("A second successor makes no second run beside one whose start an "
+          "unseen incarnation took two terms before") {
+  CarriedStart Case(seconds(60));
+  SUBCASE("after a crash") { Case.World_.crashCoordinator(); }
+  SUBCASE("after a handover") { Case.World_.handOver(milliseconds(100)); }
+  Case.cutOff();
+  Case.World_.run(milliseconds(1'900));
+  if (!Case.World_.Coordinator_)
+    Case.World_.startSuccessor();
+  // Past the usual lease, so that the record says that it has ended.
+  Case.World_.run(milliseconds(6'500));
+  Case.World_.handOver(milliseconds(100));
+  Case.World_.run(seconds(25));
+  CHECK(Case.World_.startsOf(Task) == 2);
+  requireNoViolations(Case.World_);
+}
+
 TEST_CASE("A successor does not acknowledge a result of an incarnation that "
           "nobody had seen when its run was given up") {
   CarriedStart Case(seconds(3));
