Let jobs start when the last wait of a takeover ends while a worker restarts

A job of an earlier term never started again: after its recovery a coordinator looked at its jobs only while runs that are not located were waited for, and a worker that had just restarted held all of them back at that moment.

Once recovered, only runs that are not located hold jobs back: a worker that restarts in this term runs none that are. tests/jobs: 'A job that waits for an unseen incarnation starts although another worker restarts meanwhile' fails before.

--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -65,8 +65,9 @@
       if (Used.UnlocatedLeft_)
         UnlocatedRuns_[Used.Id_] = {now() + *Used.UnlocatedLeft_, {}};
       if (Used.RunsAbandoned_)
-        AbandonedIncarnations_[Used.Id_] = {Used.Address_, Used.StartTimeMs_,
-                                            true, Used.UnseenAbandoned_, now()};
+        AbandonedIncarnations_[Used.Id_] = {
+            Used.Address_, Used.StartTimeMs_, true, Used.UnseenAbandoned_, true,
+            now()};
       continue;
     }
     if (!Listed) {
@@ -171,7 +172,7 @@
   UnseenJobs Located;
   UnseenJobs Unlocated;
   for (const WorkerEntry *Worker : WorkerOrder_)
-    if (mayRunUnseen(*Worker)) {
+    if (Recovering_ && mayRunUnseen(*Worker)) {
       ++UnseenWorkerCount_;
       Located.add(Worker->PossibleJobs_);
     }
--- a/tests/jobs/Restarts.tests.cpp
+++ b/tests/jobs/Restarts.tests.cpp
@@ -209,6 +209,32 @@
   requireNoViolations(Case.World_);
 }
 
+// Guards against a job that is held for good after its recovery.
+TEST_CASE("A job that waits for an unseen incarnation starts although another "
+          "worker restarts meanwhile") {
+  CarriedStart Case(seconds(60));
+  JobWorld &World = Case.World_;
+  World.crashCoordinator();
+  Case.cutOff();
+  World.run(milliseconds(1'900));
+  World.startSuccessor();
+  World.RunDuration_ = seconds(2);
+  World.submit("b", chainJob(1, 4, 500));
+  World.run(seconds(8));
+  REQUIRE(World.startsOf("b.0.0.0") == 1);
+  World.submit("c", chainJob(1, 4, 500));
+  World.run(seconds(1));
+  World.restartWorker("w1");
+  setReachable(World.worker("w1"), false);
+  World.run(seconds(7));
+  setReachable(World.worker("w0"), true);
+  setReachable(World.worker("w1"), true);
+  World.registerWorker("w0");
+  World.run(seconds(60));
+  CHECK(World.state("a") == JobState::Completed);
+  requireNoViolations(World);
+}
+
 TEST_CASE("A successor does not acknowledge a result of an incarnation that "
           "nobody had seen when its run was given up") {
   CarriedStart Case(seconds(3));
