--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -102,8 +102,9 @@
 void Coordinator::Impl::rememberAbandonment(const WorkerEntry &Worker) {
   if (Worker.RunsAbandoned_)
     AbandonedIncarnations_[Worker.Info_.Id_] = {
-        Worker.Info_.Address_, Worker.Info_.StartTimeMs_,
-        Worker.AbandonedInEarlierTerm_, Worker.UnseenAbandoned_, now()};
+        Worker.Info_.Address_,          Worker.Info_.StartTimeMs_,
+        Worker.AbandonedInEarlierTerm_, Worker.UnseenAbandoned_,
+        Worker.AbandonmentDurable_,     now()};
 }
 
 void Coordinator::Impl::restoreAbandonment(WorkerEntry &Worker) {
@@ -112,7 +113,8 @@
     return;
   if (It->second.Unseen_ ||
       It->second.StartTimeMs_ == Worker.Info_.StartTimeMs_) {
-    Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ = true;
+    Worker.RunsAbandoned_ = true;
+    Worker.AbandonmentDurable_ = It->second.Durable_;
     Worker.UnseenAbandoned_ = It->second.Unseen_;
     Worker.AbandonedInEarlierTerm_ = It->second.InEarlierTerm_;
   }
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -212,6 +212,8 @@
     auto It = Workers_.find(Row.Id_);
     bool Same = It != Workers_.end() &&
                 It->second->Info_.StartTimeMs_ == Row.StartTimeMs_;
+    if (!Same)
+      markUsedWorkersDirty();
     return Same ? It->second.get() : nullptr;
   };
   for (const InFlightCommit::Row &Row : Finished.LeaseHolders_)
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -160,7 +160,7 @@
   bool mayRunUnlocated(const std::string &WorkerId) const;
   //! Until their results are recorded not to count.
   bool mustRecordUnlocated(const std::string &WorkerId) const;
-  //! No record says that the task is located.
+  //! No record says that the task is located, or the store fails.
   bool mayStartUnlocated(const JobEntry &Job, const TaskEntry &Task) const;
 
   // Progress.cpp: stalled runs, stragglers and repeated stops.
@@ -462,8 +462,9 @@
     std::string Address_;
     int64_t StartTimeMs_ = 0;
     bool InEarlierTerm_ = false;
-    //! UnseenAbandoned_ of its entry.
+    //! UnseenAbandoned_ and AbandonmentDurable_ of its entry.
     bool Unseen_ = false;
+    bool Durable_ = false;
     base::TimePoint GoneSince_;
   };
   std::unordered_map<std::string, AbandonedIncarnation> AbandonedIncarnations_;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -170,6 +170,7 @@
     if (Worker.Info_.StartTimeMs_ == 0) {
       expectEarlierLease(Worker);
       Worker.Info_.StartTimeMs_ = Report.StartTimeMs_;
+      markUsedWorkersDirty();
     }
     PlacementRequested_ = true;
   }
@@ -253,12 +254,11 @@
         Result.Outcome_ == RunOutcome::LeaseExpired)
       releaseHeldBack(Worker);
   }
-  if (!Worker.RunsAbandoned_ || Report.Truncated_)
-    return;
-  // All results that may count twice are in this list.
+  // From now on the note binds the incarnation that this report names.
   if (std::exchange(Worker.UnseenAbandoned_, false))
     markUsedWorkersDirty();
-  if (Worker.HeldBackSequence_ != 0)
+  if (!Worker.RunsAbandoned_ || Report.Truncated_ ||
+      Worker.HeldBackSequence_ != 0)
     return;
   Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
       Worker.AbandonedInEarlierTerm_ = false;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -293,7 +293,7 @@
   uint64_t LastResultSequence_ = 0;
   //! Results up to this sequence number may be acknowledged.
   uint64_t AcknowledgedSequence_ = 0;
-  //! Value of AcknowledgedSequence_ in the last poll.
+  //! Highest acknowledged sequence number in a poll.
   uint64_t SentAcknowledgedSequence_ = 0;
   std::deque<PendingAcknowledgement> PendingAcknowledgements_;
   //! Runs of finite tasks on this incarnation were given up while it did not
--- a/src/jobs/internal/UsedWorkers.h
+++ b/src/jobs/internal/UsedWorkers.h
@@ -28,8 +28,9 @@
   std::optional<base::Duration> LeaseLeft_;
   //! The term that wrote LeaseLeft_.
   uint64_t LeaseLeftTerm_ = 0;
-  //! With LeaseLeft_: runs that are not located end at most this long after the
-  //! record was written. Unset if an earlier version wrote the row.
+  //! Runs that are not located end at most this long after the record was
+  //! written. Unset if it holds no lease and there are none, or if an earlier
+  //! version wrote the row.
   std::optional<base::Duration> UnlocatedLeft_;
   //! Results of runs that were given up may come from a later incarnation.
   bool UnseenAbandoned_ = false;
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -110,8 +110,10 @@
       Worker.DrainTimeReadAt_ = now();
     bool Identified = Worker.Info_.StartTimeMs_ == 0;
     Worker.Info_ = Info;
-    if (Identified)
+    if (Identified) {
       expectEarlierLease(Worker);
+      markUsedWorkersDirty();
+    }
     if (!Worker.Registered_) {
       Worker.Registered_ = true;
       Worker.NextPollAt_ = std::min(Worker.NextPollAt_, now());
