Restart located tasks without a record only if the store is out or the end is listed

One commit that was not confirmed let tasks start again while the stored record still named them as located. A successor of that coordinator would wait for the usual lease only and start the task beside such a run, if the start had reached an incarnation that nobody has seen. A coordinator that is cut off with restarting workers is in the same place.

A lost worker's task now waits for the record, or until the store has been silent for so long that only three quarters of the workers allow starts. A task whose end its worker has listed goes on as before: the worker lists it until it is durable, and a successor that reads it no longer takes the task for located. tests/jobs: 'A located task that lost its worker restarts ...' fails before.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -129,7 +129,9 @@
   //! Use says what the time of the run is accounted as.
   void removeRun(RunEntry &Run, internal::TimeUse Use);
   //! Removes a run that is over for the reason End, which outlives this object.
-  void endRun(RunEntry &Run, internal::TimeUse Use, const char *End);
+  //! Listed says that its worker listed the end.
+  void endRun(RunEntry &Run, internal::TimeUse Use, const char *End,
+              bool Listed = false);
   //! Removes a run that is over although its worker reported no end.
   void concludeUnreportedRun(RunEntry &Run, const char *Reason);
   void handleResult(WorkerEntry &Worker, const RunResult &Result);
@@ -160,7 +162,8 @@
   bool mayRunUnlocated(const std::string &WorkerId) const;
   //! Until their results are recorded not to count.
   bool mustRecordUnlocated(const std::string &WorkerId) const;
-  //! No record says that the task is located, or the store fails.
+  //! No record says that the task is located, or the store can't be asked to
+  //! change it.
   bool mayStartUnlocated(const JobEntry &Job, const TaskEntry &Task) const;
 
   // Progress.cpp: stalled runs, stragglers and repeated stops.
@@ -272,6 +275,8 @@
   //! Nothing has confirmed the term since a pause.
   bool isResuming() const;
   bool mayStartRuns();
+  //! The store has been silent for so long that only workers confirm starts.
+  bool isStoreOut() const;
   //! It is recorded as a lease holder, and may confirm the term by an answer.
   bool mustConfirmTerm(const WorkerEntry &Worker) const;
   //! The store showed that no later term had begun at this time.
--- a/src/jobs/internal/Locations.cpp
+++ b/src/jobs/internal/Locations.cpp
@@ -71,11 +71,17 @@
 }
 
 // While the store fails the record can't be changed, and a task that waited for
-// it would be down for as long.
+// it would be down for as long. A successor learns of an end that is listed
+// until it is durable; without one, a coordinator that is cut off must not
+// start what its successor takes for located.
 bool Coordinator::Impl::mayStartUnlocated(const JobEntry &Job,
                                           const TaskEntry &Task) const {
-  return !Task.Located_ && (StoreSilent_ || CommitsFail_ ||
-                            Job.DurableVersion_ >= Task.UnlocatedVersion_);
+  if (Task.Located_)
+    return false;
+  if (Job.DurableVersion_ >= Task.UnlocatedVersion_)
+    return true;
+  bool EndListed = Task.Previous_ && Task.Previous_->Listed_;
+  return EndListed ? CommitsFail_ || StoreSilent_ : isStoreOut();
 }
 
 } // namespace crocuslead::jobs
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -123,9 +123,10 @@
 }
 
 void Coordinator::Impl::endRun(RunEntry &Run, internal::TimeUse Use,
-                               const char *End) {
+                               const char *End, bool Listed) {
   TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
-  Task.Previous_ = {Run.Number_, Run.Worker_->Info_.Id_, Run.KnownSince_, End};
+  Task.Previous_ = {Run.Number_, Run.Worker_->Info_.Id_, Run.KnownSince_, End,
+                    Listed};
   removeRun(Run, Use);
 }
 
@@ -392,11 +393,13 @@
       Task.Checkpoint_ = Result.Checkpoint_;
     else if (!Run->Checkpoint_.empty())
       Task.Checkpoint_ = Run->Checkpoint_;
-    endRun(*Run, timeUse(Result.Outcome_), outcomeName(Result.Outcome_));
+    endRun(*Run, timeUse(Result.Outcome_), outcomeName(Result.Outcome_), true);
   }
   if (Step == nullptr || isFinal(Job->State_))
     return;
   TaskEntry &Task = Step->Tasks_[Result.Task_.Position_.Index_];
+  // An earlier term may have known of this end and started the task again.
+  Task.WasLocated_ = false;
   if (Result.Outcome_ == RunOutcome::Done) {
     if (Step->Spec_->LongRunning_)
       return;
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -103,6 +103,8 @@
   std::string Worker_;
   base::TimePoint KnownSince_;
   const char *End_ = "";
+  //! Its worker listed the end, and does so until that is durable.
+  bool Listed_ = false;
 };
 
 struct TaskEntry {
--- a/src/jobs/internal/Terms.cpp
+++ b/src/jobs/internal/Terms.cpp
@@ -124,6 +124,13 @@
   return !Suspended;
 }
 
+bool Coordinator::Impl::isStoreOut() const {
+  auto ByStore = Confirmation_.confirmedByStoreAt();
+  base::Duration LongestByStore =
+      lastLeaseAfterTerm() - Settings_.Times_.LeaseDuration_ / MinLeaseDivisor;
+  return !ByStore || now() - *ByStore > LongestByStore;
+}
+
 // The end of its own lease is no proof that a worker runs nothing: a successor
 // may have renewed it, unless none was elected before that end.
 bool Coordinator::Impl::hasLeaseEnded(const WorkerEntry &Worker) const {
--- a/tests/jobs/Restarts.tests.cpp
+++ b/tests/jobs/Restarts.tests.cpp
@@ -209,6 +209,31 @@
   requireNoViolations(Case.World_);
 }
 
+// Guards against a second run by a successor, which takes the task for located
+// and would not wait for a start that nobody recorded.
+TEST_CASE("A located task that lost its worker restarts when that is recorded "
+          "or the store is out") {
+  JobWorld World;
+  for (const char *Id : {"w0", "w1", "w2", "w3", "w4"})
+    World.addWorker(Id);
+  World.startSuccessor();
+  World.RunDuration_ = seconds(60);
+  World.submit("a", chainJob(1, 1));
+  World.run(seconds(2));
+  std::string First = *World.Oracle_.RunningOn_[Task].begin();
+  World.StoreDown_ = true;
+  World.restartWorker(First);
+  World.run(milliseconds(2'500));
+  CHECK(World.startsOf(Task) == 1);
+  SUBCASE("the store is back") {
+    World.StoreDown_ = false;
+    World.run(seconds(1));
+  }
+  SUBCASE("the store stays out") { World.run(seconds(3)); }
+  CHECK(World.startsOf(Task) == 2);
+  requireNoViolations(World);
+}
+
 // Guards against a job that is held for good after its recovery.
 TEST_CASE("A job that waits for an unseen incarnation starts although another "
           "worker restarts meanwhile") {
