Count a job as waiting until a worker has shown that a task of it started

A job counted as started once a start was sent. Such a start now waits for the longest lease of an incarnation that nobody has seen, so a job whose starts got no answer looked started for up to 13 s.

A job starts when a worker accepts or lists a run of it.

--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -192,6 +192,7 @@
       continue;
     }
     noteLocated(*Run);
+    markStarted(*Run->Job_);
     noteExists(*Run, Report.ClockMs_);
     if (Run->ProgressPercent_ != Status.ProgressPercent_ ||
         Run->Checkpoint_ != Status.Checkpoint_)
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -138,7 +138,6 @@
     ++ReservedStarts_;
   RunEntry &Run = addRun(Step, Task, Worker, Number);
   Task.LastRun_ = std::max(Task.LastRun_, Number);
-  markStarted(*Step.Job_);
   StartRequest Request;
   Request.Task_ = {Step.Job_->Id_, Task.Position_};
   Request.Run_ = Number;
@@ -202,6 +201,7 @@
     Congestion_.recordStartReply(SentAt, Time, QueueingDelay);
   }
   if (Reply.Status_ == RequestStatus::Accepted) {
+    markStarted(*Run->Job_);
     if (Run->Phase_ == RunPhase::StartSent ||
         Run->Phase_ == RunPhase::StartUnconfirmed) {
       Run->Phase_ = RunPhase::Running;
@@ -385,6 +385,7 @@
                   {"end", Result.SequenceNumber_},
                   {"known", Step != nullptr}});
   if (Run != nullptr) {
+    markStarted(*Run->Job_);
     TaskEntry &Task = Run->Step_->Tasks_[Run->Position_.Index_];
     if (Result.Outcome_ == RunOutcome::Done ||
         Result.Outcome_ == RunOutcome::Failed)
--- a/tests/jobs/Restarts.tests.cpp
+++ b/tests/jobs/Restarts.tests.cpp
@@ -209,6 +209,27 @@
   requireNoViolations(Case.World_);
 }
 
+// Guards against jobs that callers wait for and that `waiting` leaves out:
+// their starts got no answer and are not given up before a later incarnation is
+// ruled out.
+TEST_CASE("A job counts as waiting until a worker has shown that a task of it "
+          "started") {
+  JobWorld World;
+  World.addWorker("w0");
+  World.startSuccessor();
+  World.run(seconds(15));
+  World.worker("w0").DropsRequests_ = true;
+  World.submit("a", chainJob(1, 1));
+  World.run(seconds(6));
+  CHECK(World.Coordinator_->waitingJobs("visits") == 1);
+  World.worker("w0").DropsRequests_ = false;
+  World.RunDuration_ = seconds(5);
+  World.run(seconds(15));
+  CHECK(World.Coordinator_->waitingJobs("visits") == 0);
+  CHECK(World.startsOf(Task) == 1);
+  requireNoViolations(World);
+}
+
 // Guards against a second run by a successor, which takes the task for located
 // and would not wait for a start that nobody recorded.
 TEST_CASE("A located task that lost its worker restarts when that is recorded "
