--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -258,6 +258,7 @@
   //! tasks may be running, Unlocated those whose other tasks may.
   void noteRecovered(const UnseenJobs &Located, const UnseenJobs &Unlocated);
   void logRecoveryWait() const;
+  void logHeldTasks() const;
   //! Unfinished jobs whose tasks wait until the job has recovered.
   int64_t countHeldBackJobs() const;
   //! Jobs of which the worker may run a task or hold a result that is not
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -221,8 +221,13 @@
 
 void Coordinator::Impl::updateRecovery() {
   if (!Recovering_) {
-    if (UnlocatedSize_ != UnseenJobs().size())
-      updateUnseenRuns();
+    if (UnlocatedSize_ == UnseenJobs().size())
+      return;
+    updateUnseenRuns();
+    if (now() >= NextRecoveryReportAt_) {
+      NextRecoveryReportAt_ = now() + RecoveryReportInterval;
+      logHeldTasks();
+    }
     return;
   }
   bool AllAnswered = true;
@@ -246,6 +251,7 @@
     return;
   NextRecoveryReportAt_ = now() + RecoveryReportInterval;
   logRecoveryWait();
+  logHeldTasks();
   // Bounds the wait of the next term, should this one end before.
   markUsedWorkersDirty();
 }
@@ -285,6 +291,41 @@
        {"lease_left_ms", base::toMillis(leaseEnd(*Last) - now())}});
 }
 
+// Tells which task waits for what, also after the recovery itself is over.
+void Coordinator::Impl::logHeldTasks() const {
+  int64_t Held = 0;
+  int64_t Located = 0;
+  std::string Example;
+  for (const auto &[Key, Step] : ReadySteps_)
+    for (const TaskEntry &Task : Step->Tasks_) {
+      if (Task.Done_ || !Task.Runs_.empty() || hasRecovered(*Step->Job_, Task))
+        continue;
+      ++Held;
+      Located += Task.WasLocated_ ? 1 : 0;
+      if (Example.empty())
+        Example = taskName({Step->Job_->Id_, Task.Position_});
+    }
+  if (Held == 0)
+    return;
+  std::string Worker;
+  base::TimePoint Until;
+  for (const auto &[Id, Unlocated] : UnlocatedRuns_)
+    if (mayRunUnlocated(Id) && Unlocated.End_ > Until) {
+      Worker = Id;
+      Until = Unlocated.End_;
+    }
+  base::logEvent(base::LogLevel::Warn, "tasks-held",
+                 {{"term", Settings_.Term_},
+                  {"waited_ms", base::toMillis(now() - RecoveryStartedAt_)},
+                  {"tasks", Held},
+                  {"located_tasks", Located},
+                  {"task", Example},
+                  {"recovering", Recovering_},
+                  {"unlocated_worker", Worker},
+                  {"unlocated_left_ms",
+                   Worker.empty() ? 0 : base::toMillis(Until - now())}});
+}
+
 void Coordinator::Impl::endRecovery(const char *Reason) {
   Recovering_ = false;
   base::logEvent(base::LogLevel::Info, "recovery-finished",
