--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -339,6 +339,13 @@
     ++Oracle_.Failures_[Name];
 }
 
+void JobWorld::failRuns(const std::string &Task) {
+  for (const std::string &Id : std::set(Oracle_.RunningOn_[Task])) {
+    endRun(worker(Id), Task, RunOutcome::Failed);
+    answerPolls(worker(Id), true);
+  }
+}
+
 void JobWorld::advanceWorkers() {
   for (auto &[Id, Worker] : Workers_) {
     std::vector<std::pair<std::string, RunOutcome>> Ends;
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -115,6 +115,8 @@
   void registerWorker(const std::string &Id);
   //! Publishes a registry entry of an earlier incarnation.
   void publishStaleEntry(const std::string &Id);
+  //! Ends the runs of a task as failed.
+  void failRuns(const std::string &Task);
   void submit(const std::string &Id, JobSpec Spec,
               const std::string &Queue = "visits");
   void cancel(const std::string &Id);
