--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -69,6 +69,14 @@
   double TailLatencyMs_ = 10;
 };
 
+//! The last start request for a task.
+struct SentStart {
+  base::TimePoint SentAt_;
+  std::string Worker_;
+  //! When its sender got an answer.
+  std::optional<base::TimePoint> AnsweredAt_;
+};
+
 //! Test oracle: checks the rules of the fleet as callers and workers observe
 //! them, and records violations as text.
 struct FleetOracle {
@@ -163,6 +171,8 @@
   std::map<std::string, FakeWorker> Workers_;
   std::map<std::string, JobRecord> Jobs_;
   std::set<std::string> Cancelled_;
+  //! By task.
+  std::map<std::string, SentStart> SentStarts_;
   std::map<std::string, std::string> Stored_;
   std::unique_ptr<Coordinator> Coordinator_;
   uint64_t Term_ = 0;
@@ -212,6 +222,8 @@
   base::Duration MaxPollWait_ = std::chrono::milliseconds(50);
 
 private:
+  RequestCallback noteStart(const std::string &Worker,
+                            const StartRequest &Request, RequestCallback Done);
   //! One-way network delay between the coordinator, the store and the workers.
   static constexpr base::Duration OneWayDelay = std::chrono::milliseconds(2);
 
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -184,9 +184,25 @@
     schedule(OneWayDelay, [Done, Reply] { Done(Reply); });
 }
 
+WorkerPort::RequestCallback JobWorld::noteStart(const std::string &Worker,
+                                                const StartRequest &Request,
+                                                RequestCallback Done) {
+  std::string Name = taskName(Request.Task_);
+  SentStarts_[Name] = {now(), Worker, std::nullopt};
+  return [this, Name, SentAt = now(), Term = Request.FencingToken_,
+          Done = std::move(Done)](const RequestReply &Reply) {
+    SentStart &Sent = SentStarts_.at(Name);
+    if (Reply.Status_ != RequestStatus::Unknown && Sent.SentAt_ == SentAt &&
+        coordinatorOf(Term) != nullptr)
+      Sent.AnsweredAt_ = now();
+    Done(Reply);
+  };
+}
+
 void JobWorld::start(const WorkerAddress &To, const StartRequest &Request,
                      RequestCallback Done) {
   std::string Id = To.Id_;
+  Done = noteStart(Id, Request, std::move(Done));
   auto Execute = [this, Request](FakeWorker &Worker) {
     return executeStart(Worker, Request);
   };
