Send a resignation again until the store answers it

Cause: a resignation that the store refused or did not answer was given up at once, and the process ended. The next term took that for a crash and waited for leases that a handover would have told it of.

Change: the request is sent again 0.25 s after a failure, while the process lives, with the same record and the same condition on the revision of the term. An answer that the condition does not hold ends it. The resignation also writes the key of the term again, unchanged: a reclaim of the leader key that is executed after the resignation restored the key of an instance that had resigned.

--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -17,6 +17,7 @@
 constexpr auto MaxCampaignDelay = std::chrono::milliseconds(500);
 constexpr uint64_t CampaignJitterMs = 40;
 constexpr auto ReclaimRetryDelay = std::chrono::milliseconds(150);
+constexpr auto ReleaseRetryDelay = std::chrono::milliseconds(250);
 
 std::optional<LeaderInfo> parseLeader(const std::string &Text) {
   json In = json::parse(Text, nullptr, false);
@@ -150,6 +151,9 @@
   if (CampaignAt_ && Clock_.now() >= *CampaignAt_ && LeaseId_ != 0 &&
       !TxnInFlight_ && Term_ == 0 && Keys_.current())
     campaign();
+  if (Release_ && !Release_->InFlight_ &&
+      Clock_.now() >= Release_->NextAttempt_)
+    sendRelease();
 }
 
 void Election::reloadKeys() { Keys_.reload(); }
@@ -232,8 +236,8 @@
                const auto *Reply = std::get_if<store::TxnReply>(&Result);
                bool Won = Reply != nullptr && Reply->Succeeded_;
                if (Won && Resigned_)
-                 releaseLeaderKey(Reply->Revision_, {unusedTermsRecord(Term)},
-                                  [] {});
+                 releaseLeaderKey(Term, Reply->Revision_,
+                                  {unusedTermsRecord(Term)}, [] {});
                else if (Won && Term_ == 0)
                  becomeLeader(Term, Reply->Revision_);
                else if (Term_ == 0)
@@ -305,26 +309,56 @@
   }
   if (!Left.TermUsed_)
     Left.Records_.push_back(unusedTermsRecord(Term_));
+  uint64_t Term = Term_;
   loseLeadership("resigned");
-  releaseLeaderKey(TermRevision_, std::move(Left.Records_), std::move(Done));
+  releaseLeaderKey(Term, TermRevision_, std::move(Left.Records_),
+                   std::move(Done));
 }
 
 // Only while the term is the latest, so that no later leader's key is removed.
-void Election::releaseLeaderKey(int64_t TermRevision,
+// The term's key is written again, unchanged: no request of this term that is
+// executed late, such as a reclaim of the leader key, finds its revision.
+void Election::releaseLeaderKey(uint64_t Term, int64_t TermRevision,
                                 std::vector<store::Put> Records,
                                 std::function<void()> Done) {
-  store::Txn Request;
+  Release_ = Release();
+  Release_->Term_ = Term;
+  Release_->Done_ = std::move(Done);
+  store::Txn &Request = Release_->Request_;
   Request.Compares_ = {
       {termKey(), store::CompareTarget::ModRevision, TermRevision}};
   Request.Deletes_ = {{leaderKey(), ""}};
   Request.Puts_ = std::move(Records);
-  Store_.txn(
-      std::move(Request),
-      [Done = std::move(Done)](const store::StoreResult<store::TxnReply> &) {
-        // If the store did not answer, the leader key disappears when its lease
-        // expires.
-        Done();
-      });
+  Request.Puts_.push_back({termKey(), std::to_string(Term), 0});
+  sendRelease();
+}
+
+// A repeated request carries the same records. What they say holds for longer
+// the later they are read.
+void Election::sendRelease() {
+  Release_->InFlight_ = true;
+  ++Release_->Attempts_;
+  Store_.txn(Release_->Request_,
+             [this, Weak = std::weak_ptr<int>(Alive_)](
+                 const store::StoreResult<store::TxnReply> &Result) {
+               if (Weak.expired())
+                 return;
+               const auto *Failure = std::get_if<store::StoreError>(&Result);
+               if (Failure != nullptr) {
+                 Release_->InFlight_ = false;
+                 Release_->NextAttempt_ = Clock_.now() + ReleaseRetryDelay;
+                 base::logEvent(base::LogLevel::Warn, "resignation-unanswered",
+                                {{"term", Release_->Term_},
+                                 {"attempts", Release_->Attempts_},
+                                 {"reason", Failure->Message_}});
+                 return;
+               }
+               // A condition that does not hold shows that a former attempt
+               // took effect, or that a later term has begun.
+               auto Done = std::move(Release_->Done_);
+               Release_.reset();
+               Done();
+             });
 }
 
 } // namespace crocuslead::jobs
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -66,7 +66,8 @@
   //! Reads the keys again; called after the process was paused.
   void reloadKeys();
   //! Gives up leadership and does not campaign again. The store takes the
-  //! records of Left together with the end of the leadership, or neither.
+  //! records of Left together with the end of the leadership, or neither. The
+  //! request is repeated until the store answers it, which Done reports.
   void resign(std::function<void()> Done, Resignation Left = {});
   //! Gives up leadership because a worker or a commit has seen a later term.
   void stepDown();
@@ -92,12 +93,24 @@
   void grantLease();
   void campaign();
   void reclaimLeadership();
-  void releaseLeaderKey(int64_t TermRevision, std::vector<store::Put> Records,
+  void releaseLeaderKey(uint64_t Term, int64_t TermRevision,
+                        std::vector<store::Put> Records,
                         std::function<void()> Done);
+  void sendRelease();
   void becomeLeader(uint64_t Term, int64_t Revision);
   void loseLeadership(const char *Reason);
   std::string leaderValue(uint64_t Term) const;
 
+  //! The end of a leadership that the store has not answered yet.
+  struct Release {
+    uint64_t Term_ = 0;
+    store::Txn Request_;
+    std::function<void()> Done_;
+    bool InFlight_ = false;
+    int Attempts_ = 0;
+    base::TimePoint NextAttempt_;
+  };
+
   store::KeyValueStore &Store_;
   const base::Clock &Clock_;
   base::Random &Random_;
@@ -109,6 +122,7 @@
   bool LeaseCallInFlight_ = false;
   bool TxnInFlight_ = false;
   bool Resigned_ = false;
+  std::optional<Release> Release_;
   base::TimePoint NextRenewal_;
   base::TimePoint LastStoreContact_;
   base::Duration RoundTrip_ = std::chrono::milliseconds(10);
--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -171,6 +171,125 @@
   CHECK(Cluster.Store_.find(LeaderKey) == nullptr);
 }
 
+namespace {
+
+//! A leader and another instance.
+struct TwoInstances : TestCluster {
+  TwoInstances() {
+    run(First_, seconds(2));
+    run(seconds(1));
+    REQUIRE(First_.Election_.isLeader());
+  }
+  using TestCluster::run;
+  void run(base::Duration Time) {
+    for (base::TimePoint End = World_.now() + Time; World_.now() < End;) {
+      First_.tick();
+      Second_.tick();
+      Store_.run();
+      World_.run(milliseconds(10));
+    }
+  }
+  void resign() {
+    First_.Election_.resign([this] { ++Answers_; },
+                            First_.Host_.prepareHandover());
+  }
+  const store::KeyValue *leaderKey() const {
+    return Store_.find(std::string(JobKeys::ElectionPrefix) + "holder");
+  }
+
+  TestInstance First_{World_, Store_, "a"};
+  TestInstance Second_{World_, Store_, "b"};
+  int Answers_ = 0;
+};
+
+} // namespace
+
+// Guards against a planned stop in an outage of the store that the next term
+// takes for a crash.
+TEST_CASE_FIXTURE(TwoInstances, "A resignation that the store refuses is "
+                                "repeated until it is taken") {
+  Store_.Down_ = true;
+  resign();
+  run(seconds(3));
+  CHECK(Answers_ == 0);
+  CHECK(First_.Election_.timeSinceStoreContact() > seconds(2));
+  Store_.Down_ = false;
+  run(seconds(1));
+  CHECK(Answers_ == 1);
+  CHECK(Store_.find(JobKeys::handover()) != nullptr);
+  CHECK(Second_.Election_.term() == 2);
+  CHECK_FALSE(First_.Election_.isLeader());
+}
+
+TEST_CASE_FIXTURE(TwoInstances, "A resignation that never reaches the store is "
+                                "repeated with a pause") {
+  Store_.LoseRequests_ = 1'000;
+  resign();
+  run(seconds(3));
+  CHECK(Answers_ == 0);
+  CHECK(1'000 - Store_.LoseRequests_ >= 5);
+  CHECK(1'000 - Store_.LoseRequests_ <= 15);
+  Store_.LoseRequests_ = 0;
+  run(seconds(1));
+  CHECK(Answers_ == 1);
+  CHECK(Second_.Election_.term() == 2);
+}
+
+TEST_CASE_FIXTURE(TwoInstances, "A resignation whose answer was lost does not "
+                                "end a later term") {
+  Store_.LoseAnswers_ = 1;
+  resign();
+  Store_.run();
+  REQUIRE(leaderKey() == nullptr);
+  int64_t Revision = Store_.find(JobKeys::handover())->ModRevision_;
+  // The other instance is elected before the resignation is repeated.
+  for (int I = 0; I < 20; ++I) {
+    Second_.tick();
+    Store_.run();
+    World_.run(milliseconds(10));
+  }
+  REQUIRE(Second_.Election_.term() == 2);
+  CHECK(Answers_ == 0);
+  run(seconds(1));
+  CHECK(Answers_ == 1);
+  CHECK(Second_.Election_.term() == 2);
+  REQUIRE(leaderKey() != nullptr);
+  CHECK(leaderKey()->Value_.find("b-1") != std::string::npos);
+  CHECK(Store_.find(JobKeys::handover())->ModRevision_ == Revision);
+}
+
+TEST_CASE_FIXTURE(TwoInstances, "A resignation that is executed late does not "
+                                "end a later term") {
+  Store_.DelayRequests_ = 1;
+  resign();
+  run(seconds(1));
+  REQUIRE(Store_.DelayRequests_ == 0);
+  CHECK(Answers_ == 1);
+  REQUIRE(Second_.Election_.term() == 2);
+  int64_t Revision = Store_.find(JobKeys::handover())->ModRevision_;
+  Store_.applyLate();
+  run(seconds(1));
+  CHECK(Second_.Election_.term() == 2);
+  REQUIRE(leaderKey() != nullptr);
+  CHECK(leaderKey()->Value_.find("b-1") != std::string::npos);
+  CHECK(Store_.find(JobKeys::handover())->ModRevision_ == Revision);
+}
+
+// Guards against a leader key that names an instance that has resigned: nobody
+// leads until its store lease has ended.
+TEST_CASE_FIXTURE(TwoInstances, "A reclaim of the leader key that is executed "
+                                "after the resignation has no effect") {
+  Store_.DelayRequests_ = 1;
+  Store_.endLease(1);
+  Store_.run();
+  REQUIRE(Store_.DelayRequests_ == 0);
+  resign();
+  Store_.run();
+  REQUIRE(Answers_ == 1);
+  Store_.applyLate();
+  CHECK(leaderKey() == nullptr);
+}
+
 TEST_CASE("Another instance takes over when the leader resigns") {
   TestCluster Cluster;
   TestInstance First(Cluster.World_, Cluster.Store_, "a");
