Give up a leadership that is won after the resignation without an answer

Cause: an instance that had resigned while its campaign was under way gave up the leadership only if the answer to the campaign arrived. With a lost answer it kept the leader key, and renewed its store lease, until its process ended.

Change: if the keys show that it has won a term that it never led, it releases the leader key and records the term as unused. A term that it has led is never recorded as unused in this way.

--- a/src/jobs/Election.cpp
+++ b/src/jobs/Election.cpp
@@ -122,11 +122,16 @@
       reclaimLeadership();
     return;
   }
-  if (Resigned_)
+  // This instance won, but the reply to its transaction was lost.
+  bool Won = Leader && Leader->Incarnation_ == Settings_.Incarnation_ &&
+             Leader->Term_ == LatestTerm;
+  if (Resigned_) {
+    if (Won && LatestTerm > LastTerm_ && !TxnInFlight_ && !Release_)
+      releaseLeaderKey(LatestTerm, Keys_.find(termKey())->ModRevision_,
+                       {unusedTermsRecord(LatestTerm)}, [] {});
     return;
-  if (Leader && Leader->Incarnation_ == Settings_.Incarnation_ &&
-      Leader->Term_ == LatestTerm) {
-    // This instance won, but the reply to its transaction was lost.
+  }
+  if (Won) {
     becomeLeader(LatestTerm, Keys_.find(termKey())->ModRevision_);
     return;
   }
@@ -276,7 +281,7 @@
 }
 
 void Election::becomeLeader(uint64_t Term, int64_t Revision) {
-  Term_ = Term;
+  Term_ = LastTerm_ = Term;
   TermRevision_ = Revision;
   CampaignAt_.reset();
   base::logEvent(base::LogLevel::Info, "office-won",
--- a/src/jobs/Election.h
+++ b/src/jobs/Election.h
@@ -129,6 +129,8 @@
   std::optional<base::TimePoint> CampaignAt_;
   uint64_t Term_ = 0;
   int64_t TermRevision_ = 0;
+  //! The latest term that this instance led.
+  uint64_t LastTerm_ = 0;
 };
 
 } // namespace crocuslead::jobs
--- a/tests/jobs/CoordinatorHost.tests.cpp
+++ b/tests/jobs/CoordinatorHost.tests.cpp
@@ -171,6 +171,45 @@
   CHECK(Cluster.Store_.find(LeaderKey) == nullptr);
 }
 
+TEST_CASE("An instance that resigns gives up a leadership that it wins by a "
+          "transaction without an answer") {
+  TestCluster Cluster;
+  TestInstance First(Cluster.World_, Cluster.Store_, "a");
+  std::string LeaderKey = std::string(JobKeys::ElectionPrefix) + "holder";
+  First.tick();
+  Cluster.Store_.run();
+  Cluster.Store_.LoseAnswers_ = 1;
+  while (Cluster.Store_.find(LeaderKey) == nullptr) {
+    Cluster.Store_.run();
+    Cluster.World_.run(milliseconds(10));
+    First.tick();
+  }
+  REQUIRE(Cluster.Store_.LoseAnswers_ == 0);
+  REQUIRE_FALSE(First.Election_.isLeader());
+  First.resign();
+  Cluster.run(First, milliseconds(500));
+  CHECK_FALSE(First.Election_.isLeader());
+  CHECK(Cluster.Store_.find(LeaderKey) == nullptr);
+  CHECK(First.Election_.lastUsedTermBefore(2) == 0);
+}
+
+// Guards against two runs of a task: what an earlier term handed over is void
+// once a term was used.
+TEST_CASE("A term that an instance has led is not called unused if it loses "
+          "the leadership before it resigns") {
+  TestCluster Cluster;
+  TestInstance First(Cluster.World_, Cluster.Store_, "a");
+  Cluster.run(First, seconds(2));
+  REQUIRE(First.Host_.active() != nullptr);
+  // The keys are read again, and still name this instance.
+  First.Election_.stepDown();
+  First.resign();
+  Cluster.run(First, milliseconds(500));
+  CHECK(First.Election_.lastUsedTermBefore(2) == 1);
+  CHECK(Cluster.Store_.find(std::string(JobKeys::ElectionPrefix) +
+                            "unused-terms") == nullptr);
+}
+
 namespace {
 
 //! A leader and another instance.
