Protect restarted tasks no longer than once after a change of owner

Cause: a task that was evicted before is not evicted again within 10 minutes of its restart. A new owner of its partition counted this from its takeover, so each change of owner protected all such tasks anew, and an urgent task that needs their place waited as long.

Change: the planner gets the recorded time of the start.

--- a/src/partition/internal/Impl.cpp
+++ b/src/partition/internal/Impl.cpp
@@ -138,7 +138,12 @@
                     0, Record.StartMs_ + Job.Spec_.RunTimeMs_ - wallClockMs()));
     Worker.ActiveTasks_.insert(Live.FirstTask_ + I);
     Worker.NextPollAt_ = Now;
-    Planner_.allocate({makePendingTask(Task), Task.Worker_, Now, Now});
+    // The planner protects a task for some time after its start, and not anew
+    // after each change of owner.
+    base::TimePoint StartedAt =
+        Now - std::chrono::milliseconds(
+                  std::max<int64_t>(0, wallClockMs() - Record.StartMs_));
+    Planner_.allocate({makePendingTask(Task), Task.Worker_, StartedAt, Now});
   }
   for (uint32_t I = 0; I < Job.Tasks_.size(); ++I)
     queueTask(Tasks_[Live.FirstTask_ + I], Now);
--- a/tests/partition/PlannedHandover.tests.cpp
+++ b/tests/partition/PlannedHandover.tests.cpp
@@ -119,3 +119,26 @@
     CHECK(Sim.Workers_[0].LeaseEnd_ == LeaseEnd);
   }
 }
+
+// Guards against an urgent task that waits since each change of the owner
+// protects the restarted tasks for another 10 minutes.
+TEST_CASE("a change of the owner does not protect restarted tasks anew") {
+  World Sim(43, 1);
+  Sim.submit(batchJob("a", 1, 0));
+  Sim.run(3000);
+  JobSpec Urgent = batchJob("u", 1, 2000);
+  Urgent.PerTask_.MilliCpu_ = 8000;
+  Urgent.Urgent_ = true;
+  Urgent.Workspace_ = "bureau";
+  Sim.submit(Urgent);
+  Sim.run(30'000);
+  REQUIRE(Sim.currentOwner()->job("u")->State_ == JobState::Finished);
+  REQUIRE(Sim.Oracle_.RunningOn_.count("a/0") == 1);
+  Sim.run(620'000);
+  changeOwner(Sim);
+  Sim.run(5000);
+  Urgent.Id_ = "v";
+  Sim.submit(Urgent);
+  Sim.run(8000);
+  CHECK(Sim.currentOwner()->job("v")->State_ == JobState::Finished);
+}
