Clear a task of crashes that its worker's reports refute

Cause: a run that was counted as lost stayed counted although its worker showed later that it had not been lost under it. An end that is listed after a takeover belongs to no run that the new term tracks, and only `done` and `failed` counted as proof. A start that the next incarnation took was counted when the earlier one ended and stayed counted. And a start that a later incarnation had accepted made the loss of the earlier one certain.

Change: a listed end as done, failed or lease-expired clears the task of the crashes up to that run, a report that lists a run withdraws its crash, and a loss is certain only if the run was located. An announced run is recorded with the least number that it can have, so that an end that is listed late clears nothing after it.

Measured (x86-64, -O2): the three new cases on sound tasks fail on the code before. Each part taken out fails its case (five mutations). Crashes.tests.cpp passes.

--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -33,10 +33,10 @@
   Announced,
   //! Other causes are as likely: the run was not isolated.
   Shared,
-  //! It was isolated, but the worker did not confirm its start, or other
+  //! It was isolated, but a later incarnation may have got its start, or other
   //! workers were lost without a suspect.
   SoleUncertain,
-  //! It was isolated, and the worker had confirmed its start.
+  //! It was isolated, and located on the incarnation that ended.
   Sole,
 };
 
@@ -49,7 +49,8 @@
 //! A run whose worker was lost before the run was known to have outlived its
 //! start, so the run may have crashed it.
 struct SuspectedCrash {
-  //! 0 if it is not known.
+  //! Of an announced run, the least number that it can have. Earlier versions
+  //! recorded 0.
   uint64_t Run_ = 0;
   CrashEvidence Evidence_ = CrashEvidence::Shared;
 };
--- a/src/jobs/internal/Crashes.cpp
+++ b/src/jobs/internal/Crashes.cpp
@@ -72,9 +72,12 @@
 void Coordinator::Impl::noteExists(RunEntry &Run, int64_t WorkerMs) {
   if (Run.Proven_)
     return;
-  if (!Run.ExistsSinceMs_)
+  if (!Run.ExistsSinceMs_) {
     Run.ExistsSinceMs_ = WorkerMs;
-  else if (WorkerMs - *Run.ExistsSinceMs_ >= ProofMs)
+    // It was counted as lost with an earlier incarnation, or in a takeover.
+    refuteCrashes(*Run.Job_, Run.Step_->Tasks_[Run.Position_.Index_],
+                  Run.Number_, Run.Number_);
+  } else if (WorkerMs - *Run.ExistsSinceMs_ >= ProofMs)
     proveRun(Run);
 }
 
@@ -91,6 +94,32 @@
   markDirty(*Run.Job_);
 }
 
+// A worker that lists the end of a run has outlived its start. The end may be
+// listed after later runs were lost, so it clears only what was before.
+void Coordinator::Impl::noteOutlived(JobEntry &Job, TaskEntry &Task,
+                                     const RunResult &Result) {
+  if (Result.Outcome_ == RunOutcome::Done ||
+      Result.Outcome_ == RunOutcome::Failed ||
+      Result.Outcome_ == RunOutcome::LeaseExpired)
+    refuteCrashes(Job, Task, 0, Result.Run_);
+}
+
+void Coordinator::Impl::refuteCrashes(JobEntry &Job, TaskEntry &Task,
+                                      uint64_t FirstRun, uint64_t LastRun) {
+  std::vector<SuspectedCrash> &Crashes = Task.Crashes_;
+  auto End = std::remove_if(
+      Crashes.begin(), Crashes.end(), [&](const SuspectedCrash &Each) {
+        return Each.Evidence_ != CrashEvidence::Announced &&
+               Each.Run_ >= FirstRun && Each.Run_ <= LastRun;
+      });
+  if (End == Crashes.end())
+    return;
+  Crashes.erase(End, Crashes.end());
+  if (countCrashes(Task) == 0)
+    Crashes.clear();
+  markDirty(Job);
+}
+
 // A worker that drains leaves as planned. One that is out of reach while the
 // registry lists it lives.
 void Coordinator::Impl::recordWorkerLoss(const WorkerEntry &Worker,
@@ -121,14 +150,14 @@
   return UnsuspectedLosses_.size() * LossyFleetDivisor > WorkerOrder_.size();
 }
 
-// Only in isolation does a loss speak against one task. A worker that did not
-// confirm the start may have been lost before it arrived, and one that is
+// Only in isolation does a loss speak against one task. The incarnation that
+// was lost may not have got a start that is not located, and a worker that is
 // unlisted may be cut off from the store as well.
 CrashEvidence Coordinator::Impl::evidenceOf(const RunEntry &Run,
                                             WorkerLoss Loss) {
   if (!Run.Isolated_)
     return CrashEvidence::Shared;
-  bool Certain = Loss == WorkerLoss::IncarnationEnded && Run.ExistsSinceMs_ &&
+  bool Certain = Loss == WorkerLoss::IncarnationEnded && Run.Located_ &&
                  !isLosingWorkers();
   return Certain ? CrashEvidence::Sole : CrashEvidence::SoleUncertain;
 }
@@ -138,8 +167,10 @@
   TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
   std::vector<SuspectedCrash> &Crashes = Task.Crashes_;
   bool Known = std::any_of(
-      Crashes.begin(), Crashes.end(),
-      [&](const SuspectedCrash &Each) { return Each.Run_ == Run.Number_; });
+      Crashes.begin(), Crashes.end(), [&](const SuspectedCrash &Each) {
+        return Each.Evidence_ != CrashEvidence::Announced &&
+               Each.Run_ == Run.Number_;
+      });
   if (Known || Task.Done_ || isFinal(Job.State_))
     return;
   if (!Crashes.empty() && Crashes.back().Evidence_ == CrashEvidence::Announced)
@@ -164,7 +195,7 @@
 }
 
 void Coordinator::Impl::announceNextRun(JobEntry &Job, TaskEntry &Task) {
-  Task.Crashes_.push_back({0, CrashEvidence::Announced});
+  Task.Crashes_.push_back({Job.NextRunNumber_, CrashEvidence::Announced});
   markDirty(Job);
   Task.CrashesVersion_ = Job.Version_;
 }
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -370,6 +370,9 @@
   void forgetUnproven(RunEntry &Run);
   void noteExists(RunEntry &Run, int64_t WorkerMs);
   void proveRun(RunEntry &Run);
+  void noteOutlived(JobEntry &Job, TaskEntry &Task, const RunResult &Result);
+  void refuteCrashes(JobEntry &Job, TaskEntry &Task, uint64_t FirstRun,
+                     uint64_t LastRun);
   void recordWorkerLoss(const WorkerEntry &Worker, WorkerLoss Loss);
   CrashEvidence evidenceOf(const RunEntry &Run, WorkerLoss Loss);
   bool isLosingWorkers();
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -420,6 +420,7 @@
     return;
   TaskEntry &Task = Step->Tasks_[Result.Task_.Position_.Index_];
   Task.EarlierRunEnded_ = true;
+  noteOutlived(*Job, Task, Result);
   if (Result.Outcome_ == RunOutcome::Done) {
     if (Step->Spec_->LongRunning_)
       return;
--- a/tests/jobs/Crashes.tests.cpp
+++ b/tests/jobs/Crashes.tests.cpp
@@ -1,7 +1,12 @@
 #include "jobs/JobWorld.h"
+#include "support/SeedRange.h"
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <set>
+#include <string>
+
 namespace crocuslead::jobs::test {
 
 namespace {
@@ -44,6 +49,52 @@
   int SoundJobs_ = 0;
 };
 
+constexpr const char *SoundTask = "sound.0.0.0";
+
+//! A sound task of 20 s whose workers are lost by chance right after its
+//! starts.
+class UnluckyTask {
+public:
+  explicit UnluckyTask(
+      base::Duration BeforeSubmission = {},
+      const std::function<void(JobWorld &)> &Prepare = [](JobWorld &) {})
+      : Fleet_(12) {
+    World_.run(BeforeSubmission);
+    Prepare(World_);
+    World_.RunDuration_ = seconds(20);
+    World_.submit("sound", chainJob(1, 1));
+  }
+
+  //! Waits for the next start and returns its worker.
+  std::string awaitStart() {
+    ++Starts_;
+    for (base::TimePoint End = World_.now() + seconds(30);
+         World_.startsOf(SoundTask) < Starts_ && World_.now() < End;)
+      World_.run(milliseconds(10));
+    REQUIRE(World_.startsOf(SoundTask) == Starts_);
+    return *World_.Oracle_.RunningOn_[SoundTask].begin();
+  }
+  //! Restarts the next worker that starts the task.
+  std::string loseWorker() {
+    std::string Id = awaitStart();
+    World_.run(milliseconds(20));
+    World_.restartWorker(Id);
+    return Id;
+  }
+  void setReachable(const std::string &Id, bool Reachable) {
+    World_.worker(Id).DropsRequests_ = World_.worker(Id).DropsReplies_ =
+        !Reachable;
+  }
+  void requireCompletion() {
+    World_.run(seconds(60));
+    CHECK(World_.state("sound") == JobState::Completed);
+  }
+
+  CrashingFleet Fleet_;
+  JobWorld &World_ = Fleet_.World_;
+  int Starts_ = 0;
+};
+
 //! A task that crashes its workers, and takeovers at random moments.
 void runTakeovers(int Takeovers, uint64_t Seed) {
   CAPTURE(Seed);
@@ -75,7 +126,8 @@
 }
 
 TEST_CASE("What is known of a task's crashes survives takeovers") {
-  for (uint64_t Seed = 1; Seed <= 40; ++Seed)
+  auto Seeds = tests::seedRange({1, 40});
+  for (uint64_t Seed = Seeds.First_; Seed <= Seeds.Last_; ++Seed)
     runTakeovers(2, Seed);
 }
 
@@ -161,8 +213,80 @@
   CHECK(World_.state("a") == JobState::Failed);
 }
 
+// Guards against a start that a takeover counts as lost, although its worker
+// lists later that the run lasted until the end of its lease.
+TEST_CASE("A run whose end its worker lists after a takeover does not speak "
+          "against its task") {
+  UnluckyTask Case(seconds(15));
+  Case.loseWorker();
+  std::string CutOff = Case.awaitStart();
+  Case.setReachable(CutOff, false);
+  Case.World_.crashCoordinator();
+  Case.World_.run(seconds(7));
+  Case.World_.startSuccessor();
+  Case.setReachable(CutOff, true);
+  Case.loseWorker();
+  Case.requireCompletion();
+}
+
+// Guards against a suspicion that stays although the worker was not lost under
+// the run: its next incarnation took the start.
+TEST_CASE("A run that the next incarnation of its worker has taken does not "
+          "speak against its task") {
+  UnluckyTask Case(seconds(15), [](JobWorld &World) {
+    // The first start goes to the largest worker, which is down.
+    World.addWorker("w12", 32'000);
+    World.run(seconds(15));
+    World.restartWorkerAfter("w12", milliseconds(500));
+  });
+  JobWorld &World = Case.World_;
+  REQUIRE(Case.awaitStart() == "w12");
+  World.registerWorker("w12");
+  World.run(milliseconds(60));
+  Case.setReachable("w12", false);
+  Case.loseWorker();
+  Case.loseWorker();
+  Case.requireCompletion();
+}
+
+// Guards against a loss that is taken for certain although the accepted start
+// runs on: the incarnation that had ended was not the one that accepted it.
+TEST_CASE("A start that a later incarnation of its worker has accepted does "
+          "not speak against its task") {
+  UnluckyTask Case;
+  JobWorld &World = Case.World_;
+  std::set<std::string> Lost = {Case.loseWorker(), Case.loseWorker()};
+  for (const auto &[Id, Worker] : World.Workers_)
+    if (Lost.count(Id) == 0)
+      World.restartWorkerUnregistered(Id);
+  Case.awaitStart();
+  World.run(milliseconds(500));
+  CHECK(World.Oracle_.RunningOn_[SoundTask].size() == 1);
+  Case.requireCompletion();
+}
+
+// Guards against a task that takes more workers because an earlier run of it
+// was sound.
+TEST_CASE("An end that is listed late does not clear a task of later crashes") {
+  UnluckyTask Case;
+  JobWorld &World = Case.World_;
+  std::string First = Case.awaitStart();
+  Case.setReachable(First, false);
+  World.CrashingTasks_.insert(SoundTask);
+  for (int I = 0; I < 2'000 && World.Oracle_.Crashes_[SoundTask] < 2; ++I)
+    World.run(milliseconds(10));
+  REQUIRE(World.Oracle_.Crashes_[SoundTask] == 2);
+  SUBCASE("in the same term") {}
+  SUBCASE("after a takeover that hides one of them") { World.startSuccessor(); }
+  Case.setReachable(First, true);
+  World.run(seconds(30));
+  CHECK(World.state("sound") == JobState::Failed);
+  CHECK(World.Oracle_.Crashes_[SoundTask] == 3);
+}
+
 TEST_CASE("Jobs are not given up because workers are lost at random") {
-  for (uint64_t Seed = 1; Seed <= 30; ++Seed) {
+  auto Seeds = tests::seedRange({1, 30});
+  for (uint64_t Seed = Seeds.First_; Seed <= Seeds.Last_; ++Seed) {
     CAPTURE(Seed);
     CrashingFleet Fleet(12, Seed);
     for (int Round = 0; Round < 40; ++Round) {
