Announce the next start of a suspected task when its worker is chosen

Cause: the announcement was written with the crash, and a successor counts an announced start as lost. A task that waited (for a recovery, a record or room) was therefore counted once more by each takeover: one real loss and two takeovers were three crashes.

Change: the task is announced once placement has chosen a worker, and starts when that is durable. A worker with results that are not durable was asked each 200 ms instead of each 120 ms whether it had outlived the start of an isolated task; now it is asked as often as the others.

Measured (x86-64, -O2): the new case fails before and passes. A suspected task starts one commit later.

--- a/src/jobs/internal/Crashes.cpp
+++ b/src/jobs/internal/Crashes.cpp
@@ -77,7 +77,8 @@
     // It was counted as lost with an earlier incarnation, or in a takeover.
     refuteCrashes(*Run.Job_, Run.Step_->Tasks_[Run.Position_.Index_],
                   Run.Number_, Run.Number_);
-  } else if (WorkerMs - *Run.ExistsSinceMs_ >= ProofMs)
+  }
+  if (WorkerMs - *Run.ExistsSinceMs_ >= ProofMs)
     proveRun(Run);
 }
 
@@ -173,10 +174,10 @@
       });
   if (Known || Task.Done_ || isFinal(Job.State_))
     return;
-  if (!Crashes.empty() && Crashes.back().Evidence_ == CrashEvidence::Announced)
+  if (isNextRunAnnounced(Task))
     Crashes.pop_back();
   Crashes.push_back({Run.Number_, Evidence});
-  announceNextRun(Job, Task);
+  markDirty(Job);
   std::string EvidenceName(CrashEvidenceNames.name(Evidence));
   Metrics_
       .counter("crocuslead_suspected_crashes_total",
@@ -194,24 +195,30 @@
               unfinishedTime(Job));
 }
 
-void Coordinator::Impl::announceNextRun(JobEntry &Job, TaskEntry &Task) {
+bool Coordinator::Impl::isNextRunAnnounced(const TaskEntry &Task) {
+  return !Task.Crashes_.empty() &&
+         Task.Crashes_.back().Evidence_ == CrashEvidence::Announced;
+}
+
+// Only once a worker is chosen: a takeover counts the announced run as lost,
+// and a task may wait for long.
+bool Coordinator::Impl::announceIfSuspected(JobEntry &Job, TaskEntry &Task) {
+  if (Task.Crashes_.empty() || isNextRunAnnounced(Task))
+    return false;
   Task.Crashes_.push_back({Job.NextRunNumber_, CrashEvidence::Announced});
   markDirty(Job);
   Task.CrashesVersion_ = Job.Version_;
+  return true;
 }
 
 // The announced run counts as lost: if it runs, it is adopted, and clears the
 // task once it is proven.
 void Coordinator::Impl::restoreCrashes(
-    JobEntry &Job, TaskEntry &Task,
-    const std::vector<SuspectedCrash> &Crashes) {
-  if (Crashes.empty())
-    return;
+    TaskEntry &Task, const std::vector<SuspectedCrash> &Crashes) {
   Task.Crashes_ = Crashes;
   for (SuspectedCrash &Each : Task.Crashes_)
     if (Each.Evidence_ == CrashEvidence::Announced)
       Each.Evidence_ = CrashEvidence::Shared;
-  announceNextRun(Job, Task);
 }
 
 bool Coordinator::Impl::mustIsolate(const TaskEntry &Task) {
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -377,9 +377,11 @@
   CrashEvidence evidenceOf(const RunEntry &Run, WorkerLoss Loss);
   bool isLosingWorkers();
   void recordCrash(RunEntry &Run, CrashEvidence Evidence);
-  void announceNextRun(JobEntry &Job, TaskEntry &Task);
-  void restoreCrashes(JobEntry &Job, TaskEntry &Task,
-                      const std::vector<SuspectedCrash> &Crashes);
+  static bool isNextRunAnnounced(const TaskEntry &Task);
+  //! Returns true if the task must not start before that is durable.
+  bool announceIfSuspected(JobEntry &Job, TaskEntry &Task);
+  static void restoreCrashes(TaskEntry &Task,
+                             const std::vector<SuspectedCrash> &Crashes);
   static bool mustIsolate(const TaskEntry &Task);
   bool isIsolatingWorker(const WorkerEntry &Worker) const;
 
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -114,7 +114,7 @@
       if (StepEntry *Step = findStep(Job, Position)) {
         Step->Tasks_[Position.Index_].FailedRuns_ = Unfinished.FailedRuns_;
         Step->Tasks_[Position.Index_].Checkpoint_ = Unfinished.Checkpoint_;
-        restoreCrashes(Job, Step->Tasks_[Position.Index_], Unfinished.Crashes_);
+        restoreCrashes(Step->Tasks_[Position.Index_], Unfinished.Crashes_);
       }
     }
   }
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -240,6 +240,8 @@
       continue;
     if (Chosen == nullptr)
       break;
+    if (announceIfSuspected(*Step.Job_, Task))
+      continue;
     WorkerEntry &Worker = *Chosen->Worker_;
     startRun(Step, Task, Worker, Step.Job_->NextRunNumber_++,
              mustRecordStart(Step, Task));
@@ -278,6 +280,11 @@
     removeRun(*Run, internal::TimeUse::Capacity);
   if (Assignments.size() < Step.Tasks_.size())
     return false;
+  bool Announces = false;
+  for (TaskEntry &Task : Step.Tasks_)
+    Announces = announceIfSuspected(*Step.Job_, Task) || Announces;
+  if (Announces)
+    return false;
   // All members of a gang start at the same time, from the same checkpoint.
   std::string Checkpoint;
   bool RecordFirst = false;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -235,7 +235,7 @@
       (IsLeaving && Worker.Runs_.empty() && !HasUndurableResults))
     Pause = Settings_.Times_.PollWait_;
   else if (HasUndurableResults)
-    Pause = UndurablePollDelay;
+    Pause = Worker.IsolatedRuns_ > 0 ? ProofPollWait : UndurablePollDelay;
   else if (Worker.GrantsExcluded_)
     Pause = ExcludedPollDelay;
   Worker.NextPollAt_ = now() + std::max(Pause, Congestion_.pollPause());
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -121,7 +121,7 @@
   std::vector<uint64_t> FailedRuns_;
   //! Workers that were lost under it since a run last outlived its start.
   std::vector<SuspectedCrash> Crashes_;
-  //! Version of the job that contains Crashes_.
+  //! Version of the job that contains the last announcement in Crashes_.
   uint64_t CrashesVersion_ = 0;
   std::string Checkpoint_;
   //! Recorded with the job's progress. With it, and for each long-running task,
--- a/tests/jobs/Crashes.tests.cpp
+++ b/tests/jobs/Crashes.tests.cpp
@@ -229,6 +229,28 @@
   Case.requireCompletion();
 }
 
+// Guards against takeovers that count the starts of a task that has waited all
+// the while.
+TEST_CASE("A start that was never sent does not speak against its task") {
+  UnluckyTask Case(seconds(15));
+  JobWorld &World = Case.World_;
+  auto SetDraining = [&](bool Draining) {
+    for (auto &[Id, Worker] : World.Workers_)
+      Worker.Info_.Draining_ = Draining;
+    World.publishWorkers();
+  };
+  Case.loseWorker();
+  SetDraining(true);
+  World.run(seconds(1));
+  for (int Takeover = 0; Takeover < 2; ++Takeover) {
+    World.startSuccessor();
+    World.run(seconds(1));
+  }
+  SetDraining(false);
+  Case.loseWorker();
+  Case.requireCompletion();
+}
+
 // Guards against a suspicion that stays although the worker was not lost under
 // the run: its next incarnation took the start.
 TEST_CASE("A run that the next incarnation of its worker has taken does not "
