Take a run that is listed long after its start for proven

Cause: a run on a worker that was out of reach is listed for the first time seconds after its start, and counted as unproven for another 100 ms. A restart within these was taken for a crash.

Change: a report that was requested later than the longest delay of a request and 100 ms after the start proves the run.

--- a/src/jobs/internal/Crashes.cpp
+++ b/src/jobs/internal/Crashes.cpp
@@ -78,10 +78,20 @@
     refuteCrashes(*Run.Job_, Run.Step_->Tasks_[Run.Position_.Index_],
                   Run.Number_, Run.Number_);
   }
-  if (WorkerMs - *Run.ExistsSinceMs_ >= ProofMs)
+  if (WorkerMs - *Run.ExistsSinceMs_ >= ProofMs || isListedLate(Run))
     proveRun(Run);
 }
 
+// The first report that lists a run may come long after its start, if the
+// worker was out of reach.
+bool Coordinator::Impl::isListedLate(const RunEntry &Run) const {
+  base::TimePoint Outlived = Run.KnownSince_ +
+                             Settings_.Times_.MaxRequestDelay_ +
+                             std::chrono::milliseconds(ProofMs);
+  return Run.Worker_->AnsweredPollSentAt_ &&
+         *Run.Worker_->AnsweredPollSentAt_ >= Outlived;
+}
+
 void Coordinator::Impl::proveRun(RunEntry &Run) {
   if (Run.Proven_)
     return;
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -369,6 +369,7 @@
   void countUnproven(RunEntry &Run);
   void forgetUnproven(RunEntry &Run);
   void noteExists(RunEntry &Run, int64_t WorkerMs);
+  bool isListedLate(const RunEntry &Run) const;
   void proveRun(RunEntry &Run);
   void noteOutlived(JobEntry &Job, TaskEntry &Task, const RunResult &Result);
   void refuteCrashes(JobEntry &Job, TaskEntry &Task, uint64_t FirstRun,
--- a/tests/jobs/Crashes.tests.cpp
+++ b/tests/jobs/Crashes.tests.cpp
@@ -271,6 +271,29 @@
   Case.requireCompletion();
 }
 
+// Guards against a loss that is taken for a crash although the run had lasted
+// for seconds before its worker could be reached.
+TEST_CASE("A run that is first listed long after its start does not speak "
+          "against its task") {
+  UnluckyTask Case(seconds(15), [](JobWorld &World) {
+    World.addWorker("w12", 32'000);
+    World.run(seconds(15));
+    World.worker("w12").DropsReplies_ = true;
+  });
+  JobWorld &World = Case.World_;
+  REQUIRE(Case.awaitStart() == "w12");
+  World.run(milliseconds(3'500));
+  World.worker("w12").DropsReplies_ = false;
+  for (int Polls = World.worker("w12").Polls_;
+       World.worker("w12").Polls_ == Polls;)
+    World.run(milliseconds(10));
+  World.run(milliseconds(20));
+  World.restartWorker("w12");
+  Case.loseWorker();
+  Case.loseWorker();
+  Case.requireCompletion();
+}
+
 // Guards against a loss that is taken for certain although the accepted start
 // runs on: the incarnation that had ended was not the one that accepted it.
 TEST_CASE("A start that a later incarnation of its worker has accepted does "
