--- a/tests/jobs/Crashes.tests.cpp
+++ b/tests/jobs/Crashes.tests.cpp
@@ -135,7 +135,8 @@
 TEST_CASE("A task's crashes are counted although three takeovers follow each "
           "other" *
           doctest::should_fail()) {
-  for (uint64_t Seed : {12, 43})
+  auto Seeds = tests::seedRange({1, 60});
+  for (uint64_t Seed = Seeds.First_; Seed <= Seeds.Last_; ++Seed)
     runTakeovers(3, Seed);
 }
 
