--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -52,11 +52,17 @@
   // Workers.cpp
   void setWorkers(const std::map<std::string, WorkerInfo> &Workers);
 
-  // Recovery.cpp
+  // RecordAges.cpp
   void restoreLastCommit(const std::string &Record);
+
+  // Restoration.cpp
   void restoreUsedWorkers(const std::string &Record);
-  void recover();
   void restoreHandover(const std::string &Record);
+
+  // Recovery.cpp
+  void recover();
+
+  // Resignation.cpp
   std::string prepareHandover();
 
   // Terms.cpp
@@ -139,11 +145,14 @@
               bool Listed = false);
   //! Removes a run that is over although its worker reported no end.
   void concludeUnreportedRun(RunEntry &Run, const char *Reason);
+  // Results.cpp: ends that workers list.
   void handleResult(WorkerEntry &Worker, const RunResult &Result);
   void recordFailure(JobEntry &Job, StepEntry &Step, TaskEntry &Task,
                      const RunResult &Result);
   void recordOutcome(WorkerEntry &Worker, RunEntry *Run,
                      const RunResult &Result);
+  // Runs.cpp as well.
+  void reportDuplicate(const RunEntry &Found, const RunEntry &Known);
   void markSuperseded(const char *SeenAt, const WorkerEntry &Worker);
   RunEntry *findRun(uint64_t Serial);
   RunEntry *findRunOnWorker(WorkerEntry &Worker, const TaskId &Id,
@@ -243,7 +252,6 @@
   void queueAcknowledgement(WorkerEntry &Worker, const RunResult &Result);
   void reconcileRuns(WorkerEntry &Worker, const WorkerReport &Report,
                      base::TimePoint SentAt);
-  void reportDuplicate(const RunEntry &Found, const RunEntry &Known);
   void adoptRun(WorkerEntry &Worker, const RunStatus &Status);
   void onPollFailure(WorkerEntry &Worker, RequestStatus Status);
   void endIncarnation(WorkerEntry &Worker, WorkerLoss Loss, const char *Reason);
@@ -290,13 +298,15 @@
   }
   //! The same for one task.
   bool hasRecovered(const StepEntry &Step, const TaskEntry &Task) const;
+  //! No earlier term can have known that these steps are complete.
+  static bool isFirstRelease(const OccurrenceEntry &Occurrence,
+                             const std::vector<uint32_t> &Dependencies);
   bool mayRunAt(const internal::WorkerEntry &Worker, const JobEntry &Job,
                 bool Finite) const;
   bool mayRunAt(const TaskLocation &Location, const JobEntry &Job,
                 bool Finite) const;
   //! It may be running tasks, or have results, that this term has not seen.
   bool mayRunUnseen(const WorkerEntry &Worker) const;
-  internal::HandedOverWorker handedOver(const WorkerEntry &Worker) const;
   void updateUnseenRuns();
   //! Jobs whose runs may go on where this term does not see it.
   struct UnseenJobs {
@@ -316,12 +326,15 @@
   void logHeldTasks() const;
   //! Unfinished jobs whose tasks wait until the job has recovered.
   int64_t countHeldBackJobs() const;
+  void abandonEarlierRuns(WorkerEntry &Worker, bool Unseen);
+  void updateRecovery();
+
+  // Resignation.cpp: what a term that resigns leaves behind.
+  internal::HandedOverWorker handedOver(const WorkerEntry &Worker) const;
   //! Jobs of which the worker may run a task or hold a result that is not
   //! durable; empty if any job may be among them.
   std::optional<std::vector<std::string>>
   possibleJobs(const WorkerEntry &Worker) const;
-  void abandonEarlierRuns(WorkerEntry &Worker, bool Unseen);
-  void updateRecovery();
 
   // Terms.cpp: whether this term is still the latest.
   static internal::LeaseBounds leaseBounds(const CoordinatorTimings &Times);
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -199,15 +199,7 @@
       continue;
     Step.CriticalTime_ = CriticalTime;
     Step.StartsBeforeRelease_ = ReservedStarts_;
-    // No earlier term can have known that all dependencies are complete.
-    bool IsFirstRelease = std::any_of(
-        Dependencies.begin(), Dependencies.end(), [&](uint32_t Dependency) {
-          const std::vector<TaskEntry> &Tasks =
-              Occurrence.Steps_[Dependency].Tasks_;
-          return std::any_of(
-              Tasks.begin(), Tasks.end(),
-              [](const TaskEntry &Task) { return Task.EndedInTerm_; });
-        });
+    bool IsFirstRelease = isFirstRelease(Occurrence, Dependencies);
     for (TaskEntry &Task : Step.Tasks_) {
       Task.AccountedUntil_ = now();
       Task.Recovered_ = Task.Recovered_ || IsFirstRelease;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -379,23 +379,4 @@
     requestStop(Run, "not-wanted");
 }
 
-void Coordinator::Impl::reportDuplicate(const RunEntry &Found,
-                                        const RunEntry &Known) {
-  Metrics_
-      .counter("crocuslead_duplicate_runs_total",
-               "Runs that were found beside another run of their task.")
-      .add();
-  base::logEvent(base::LogLevel::Warn, "task-runs-twice",
-                 {{"task", taskName({Found.Job_->Id_, Found.Position_})},
-                  {"run", Found.Number_},
-                  {"worker", Found.Worker_->Info_.Id_},
-                  {"domain", Found.Worker_->Info_.Domain_},
-                  {"known_run", Known.Number_},
-                  {"known_worker", Known.Worker_->Info_.Id_},
-                  {"known_domain", Known.Worker_->Info_.Domain_},
-                  {"known_ms", base::toMillis(now() - Known.KnownSince_)},
-                  {"restored", Found.Job_->Restored_},
-                  {"term", Settings_.Term_}});
-}
-
 } // namespace crocuslead::jobs
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -1,13 +1,12 @@
 #include "jobs/internal/Impl.h"
 
 #include "base/Log.h"
-#include "jobs/internal/Handover.h"
 
 #include <algorithm>
 #include <utility>
 
-// What a new term learns of the terms before it, and what one that resigns
-// leaves behind.
+// Which tasks a new term holds back, as an earlier one may have left a run of
+// them where it does not see it.
 
 namespace crocuslead::jobs {
 
@@ -56,122 +55,6 @@
   pollDueWorkers();
 }
 
-void Coordinator::Impl::restoreUsedWorkers(const std::string &Record) {
-  internal::UsedWorkers Read = internal::decodeUsedWorkers(Record);
-  UsedWorkersComplete_ = Read.Complete_;
-  auto NoteUnlocated = [this](const internal::UsedWorker &Used) {
-    if (Used.UnlocatedLeft_)
-      UnlocatedRuns_[Used.Id_] = {
-          UsedWorkersWrittenBefore_ + *Used.UnlocatedLeft_, Used.UnlocatedJobs_,
-          internal::RecordKind::UsedWorkers};
-  };
-  for (const internal::UsedWorker &Used : Read.Rows_) {
-    RecordedIncarnations_[Used.Id_] = Used.StartTimeMs_;
-    bool Listed = Workers_.count(Used.Id_) > 0;
-    if (!Listed && Used.LeaseEnded_) {
-      EarlierLeases_[Used.Id_] = {now(), Used.StartTimeMs_};
-      NoteUnlocated(Used);
-      if (Used.RunsAbandoned_)
-        AbandonedIncarnations_[Used.Id_] = {
-            Used.Address_, Used.StartTimeMs_, true, Used.UnseenAbandoned_, true,
-            now()};
-      continue;
-    }
-    if (!Listed) {
-      WorkerInfo Info;
-      Info.Id_ = Used.Id_;
-      Info.Address_ = Used.Address_;
-      Info.StartTimeMs_ = Used.StartTimeMs_;
-      addWorker(Info).Registered_ = false;
-    }
-    WorkerEntry &Worker = *Workers_.at(Used.Id_);
-    bool SameIncarnation = Worker.Info_.StartTimeMs_ == Used.StartTimeMs_;
-    // Another incarnation cannot run what the recorded one ran, but requests to
-    // the recorded one may have reached it.
-    // Else the registry lags behind.
-    Worker.RecordedIncarnationGone_ =
-        Used.StartTimeMs_ != 0 && Worker.Info_.StartTimeMs_ > Used.StartTimeMs_;
-    Worker.RestartedBeforeTerm_ = !SameIncarnation;
-    if (!SameIncarnation)
-      expectLongestLease(Worker, now() + lastLeaseAfterTerm());
-    // A term between the two may have run an earlier version, which does not
-    // read the rest and grants leases all the same.
-    else if (Used.LeaseLeft_ &&
-             Used.LeaseLeftTerm_ == Settings_.PreviousTerm_) {
-      Worker.RecordedLeaseEnd_ = UsedWorkersWrittenBefore_ + *Used.LeaseLeft_;
-      NoteUnlocated(Used);
-    } else if (Used.MayHoldLongestLease_)
-      expectLongestLease(Worker, now());
-    // A term between the two that did not know of the row would have written
-    // others, so the last commit would not be known.
-    bool IsExcluded = Used.UnlocatedLeft_ && !Used.LeaseLeft_ && LastCommit_;
-    if (Used.LeaseEnded_ || (IsExcluded && SameIncarnation))
-      NoteUnlocated(Used);
-    Worker.StartsExcluded_ = IsExcluded;
-    Worker.MayHoldLease_ = !Used.LeaseEnded_ || !SameIncarnation;
-    Worker.GrantsExcluded_ = Used.LeaseEnded_ || Used.LeaseLeft_;
-    Worker.RecordDurable_ = !Worker.GrantsExcluded_ && SameIncarnation;
-    // The rest of a longest lease exceeds the bound for the usual ones.
-    if (Worker.RecordedLeaseEnd_ && Used.MayHoldLongestLease_)
-      Worker.LongestLeaseUntil_ = Worker.LatestLeaseEnd_ =
-          *Worker.RecordedLeaseEnd_;
-    if (!Used.LeaseEnded_)
-      RecordedHolders_.insert(Used.Id_);
-    // The registry may lag behind the record, so the note binds whichever
-    // incarnation answers.
-    Worker.RunsAbandoned_ = Worker.AbandonmentDurable_ =
-        Worker.AbandonedInEarlierTerm_ = Used.RunsAbandoned_;
-    Worker.UnseenAbandoned_ =
-        Used.RunsAbandoned_ && (Used.UnseenAbandoned_ || !SameIncarnation);
-  }
-}
-
-// The coordinator that resigned granted no lease after it had made the record.
-// The times in it are counted from when it is read, until a worker's clock
-// tells when it was written.
-void Coordinator::Impl::restoreHandover(const std::string &Record) {
-  auto Read = internal::decodeHandover(Record);
-  if (!Read)
-    return;
-  // A term between the two may have granted leases.
-  bool FromPreviousTerm = Read->Term_ == Settings_.PreviousTerm_;
-  int64_t Bounded = 0;
-  if (FromPreviousTerm) {
-    PredecessorResigned_ = Read->PredecessorsFenced_;
-    HandoverStarts_ = Read->Starts_;
-    HandoverAge_ = RecordAge{std::move(Read->Clocks_), std::nullopt, now()};
-    for (internal::HandedOverWorker &Each : Read->Workers_) {
-      int64_t &Recorded = RecordedIncarnations_[Each.Id_];
-      Recorded = std::max(Recorded, Each.StartTimeMs_);
-      auto It = Workers_.find(Each.Id_);
-      if (It == Workers_.end() ||
-          It->second->Info_.StartTimeMs_ != Each.StartTimeMs_)
-        continue;
-      WorkerEntry &Worker = *It->second;
-      base::TimePoint End = now() + Each.LeaseLeft_;
-      Worker.RecordedLeaseEnd_ = End;
-      Worker.RecordedLeaseIn_ = internal::RecordKind::Handover;
-      Worker.LatestLeaseEnd_ = std::min(Worker.LatestLeaseEnd_, End);
-      Worker.LongestLeaseUntil_ = std::min(Worker.LongestLeaseUntil_, End);
-      Worker.PossibleJobs_ = std::move(Each.Jobs_);
-      if (Each.UnlocatedLeft_)
-        UnlocatedRuns_[Each.Id_] = {now() + *Each.UnlocatedLeft_,
-                                    std::move(Each.UnlocatedJobs_),
-                                    internal::RecordKind::Handover};
-      ++Bounded;
-    }
-  }
-  base::logEvent(base::LogLevel::Info, "handover-read",
-                 {{"term", Settings_.Term_},
-                  {"from_term", Read->Term_},
-                  {"previous_term", Settings_.PreviousTerm_},
-                  {"used", FromPreviousTerm},
-                  {"predecessors_fenced", Read->PredecessorsFenced_},
-                  {"starts_recorded", Read->Starts_.LongRunning_},
-                  {"rows", static_cast<int64_t>(Read->Workers_.size())},
-                  {"workers", Bounded}});
-}
-
 bool Coordinator::Impl::mayRunUnseen(const WorkerEntry &Worker) const {
   if (Worker.Polled_ || (Worker.PossibleJobs_ && Worker.PossibleJobs_->empty()))
     return false;
@@ -221,6 +104,20 @@
          !Task.EarlierRunEnded_;
 }
 
+bool Coordinator::Impl::isFirstRelease(
+    const OccurrenceEntry &Occurrence,
+    const std::vector<uint32_t> &Dependencies) {
+  return std::any_of(Dependencies.begin(), Dependencies.end(),
+                     [&](uint32_t Dependency) {
+                       const std::vector<TaskEntry> &Tasks =
+                           Occurrence.Steps_[Dependency].Tasks_;
+                       return std::any_of(Tasks.begin(), Tasks.end(),
+                                          [](const TaskEntry &Task) {
+                                            return Task.EndedInTerm_;
+                                          });
+                     });
+}
+
 void Coordinator::Impl::UnseenJobs::add(
     const std::optional<std::vector<std::string>> &Jobs) {
   if (Jobs)
@@ -399,70 +296,4 @@
                   {"jobs", static_cast<int64_t>(Jobs_.size())}});
 }
 
-std::string Coordinator::Impl::prepareHandover() {
-  for (auto &[Id, Worker] : Workers_) {
-    if (Worker->Runs_.empty() || !Worker->Clock_ || !isReachable(*Worker) ||
-        Worker->GrantsExcluded_ || Worker->HeldBackSequence_ != 0 ||
-        leaseTimeLeft().count() <= 0)
-      continue;
-    PollRequest Request;
-    Request.FencingToken_ = Settings_.Term_;
-    Request.AcknowledgedSequence_ = acknowledgeableSequence(*Worker);
-    Request.LeaseUntilMs_ = grantLease(*Worker);
-    Port_.poll(addressOf(*Worker), Request, [](const PollReply &) {
-      // Only the lease renewal matters; the successor polls by itself.
-    });
-  }
-  Superseded_ = true;
-  internal::Handover Out;
-  Out.Term_ = Settings_.Term_;
-  Out.Starts_ = recordedStarts();
-  Out.Clocks_ = clockReadings();
-  Out.PredecessorsFenced_ = PredecessorLeases_.fenced();
-  for (const WorkerEntry *Worker : WorkerOrder_)
-    if (Worker->MayHoldLease_ || now() < leaseEnd(*Worker))
-      Out.Workers_.push_back(handedOver(*Worker));
-  return internal::encodeHandover(Out);
-}
-
-internal::HandedOverWorker
-Coordinator::Impl::handedOver(const WorkerEntry &Worker) const {
-  internal::HandedOverWorker Out;
-  Out.Id_ = Worker.Info_.Id_;
-  Out.StartTimeMs_ = Worker.Info_.StartTimeMs_;
-  Out.LeaseLeft_ = leaseEnd(Worker) - now();
-  Out.Jobs_ = possibleJobs(Worker);
-  auto Unseen = UnlocatedRuns_.find(Worker.Info_.Id_);
-  if (!Worker.Polled_ && Unseen != UnlocatedRuns_.end()) {
-    Out.UnlocatedLeft_ = Unseen->second.End_ - now();
-    Out.UnlocatedJobs_ = Unseen->second.Jobs_;
-    return Out;
-  }
-  Out.UnlocatedLeft_ = unlocatedRunEnd(Worker) - now();
-  Out.UnlocatedJobs_ = unlocatedJobs(Worker);
-  return Out;
-}
-
-// A result that is not durable counts like a run: the next term does not know
-// of it before the worker lists it again. Results that are held back or not
-// listed, those of tasks that were given up, and runs of unknown tasks may be
-// those of any job.
-std::optional<std::vector<std::string>>
-Coordinator::Impl::possibleJobs(const WorkerEntry &Worker) const {
-  if (!Worker.Polled_)
-    return Worker.PossibleJobs_;
-  if (Worker.HeldBackSequence_ != 0 || Worker.RunsAbandoned_ ||
-      Worker.ReportTruncated_ || Worker.RanUnknownTask_)
-    return std::nullopt;
-  std::set<std::string> Out;
-  for (const RunEntry *Run : Worker.Runs_)
-    if (Run->Phase_ != RunPhase::Announced)
-      Out.insert(Run->Job_->Id_);
-  for (const internal::PendingAcknowledgement &Each :
-       Worker.PendingAcknowledgements_)
-    if (!Each.Job_.empty())
-      Out.insert(Each.Job_);
-  return std::vector<std::string>(Out.begin(), Out.end());
-}
-
 } // namespace crocuslead::jobs
