--- a/src/jobs/JobKeys.h
+++ b/src/jobs/JobKeys.h
@@ -11,6 +11,7 @@
 //!   jobs/ID/spec, jobs/ID/cancel     written by the instance that answers the
 //!                                    caller
 //!   state/progress/ID, state/workers written only by the coordinator
+//!   state/last-commit                its age, and what the records cover
 //!   state/handover                   the last record of a coordinator that
 //!                                    resigned
 //!   state/sequence                   changed by each of the coordinator's
