Count rests from the reading where the age of their record is unknown

Cause: the revision of a key in a transaction was taken for that of all its keys, which the store need not give them, so the last commit was never found; the time of writing of the record of used workers was then unset, and every rest in it over. Change: the record names its commit, and the time begins with the term. The test runs a task twice without that.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -23,7 +23,8 @@
     : Settings_(Settings), Port_(Port), Clock_(Clock), Metrics_(Metrics),
       WorkMetrics_(Metrics), Commit_(std::move(OnCommit)),
       Confirmation_(leaseBounds(Settings.Times_)),
-      PredecessorLeases_(leaseBounds(Settings.Times_)) {}
+      PredecessorLeases_(leaseBounds(Settings.Times_)),
+      UsedWorkersWrittenBefore_(Clock.now()) {}
 
 void Coordinator::Impl::tick() {
   if (Superseded_)
@@ -143,8 +144,9 @@
   Impl_->addJob(Id, std::move(Record), Revision, Progress, true);
 }
 
-void Coordinator::restoreLastCommit(const std::string &Record) {
-  Impl_->restoreLastCommit(Record);
+void Coordinator::restoreLastCommit(
+    const std::string &Record, std::pair<uint64_t, uint64_t> TermAndNumber) {
+  Impl_->restoreLastCommit(Record, TermAndNumber);
 }
 
 void Coordinator::restoreUsedWorkers(const std::string &Record) {
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -176,9 +176,10 @@
   //! job was accepted.
   void restoreJob(const std::string &Id, JobRecord Record, int64_t Revision,
                   const std::optional<JobProgress> &Progress);
-  //! Restores what the last commit says of itself, if an earlier term made it.
+  //! Restores what the last commit, with this term and number, says of itself.
   //! Must precede restoreUsedWorkers().
-  void restoreLastCommit(const std::string &Record);
+  void restoreLastCommit(const std::string &Record,
+                         std::pair<uint64_t, uint64_t> TermAndNumber);
   //! Restores, from the stored record, the workers that were granted leases in
   //! earlier terms.
   void restoreUsedWorkers(const std::string &Record);
--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <sstream>
 
 namespace crocuslead::jobs {
 
@@ -32,6 +33,15 @@
   return {Rest.substr(0, Slash), Rest.substr(Slash + 1)};
 }
 
+//! Term and number of a commit, from the value of the sequence key.
+std::pair<uint64_t, uint64_t> parseSequence(const std::string &Value) {
+  std::pair<uint64_t, uint64_t> Out;
+  char Colon = 0;
+  std::istringstream In(Value);
+  In >> Out.first >> Colon >> Out.second;
+  return Out;
+}
+
 template <typename T, typename Decode>
 std::optional<T> decodeOrLog(const store::KeyValue &Value,
                              const Decode &Function) {
@@ -181,23 +191,24 @@
       std::string(JobKeys::StatePrefix) + Coordinator::LastCommitKey;
   const std::string *Handover = nullptr;
   const std::string *UsedWorkers = nullptr;
-  const store::KeyValue *LastCommit = nullptr;
+  const std::string *LastCommit = nullptr;
+  std::string Sequence;
   for (const store::KeyValue &Entry : StateEntries.Values_) {
-    if (Entry.Key_ == JobKeys::sequence())
+    if (Entry.Key_ == JobKeys::sequence()) {
       SequenceRevision_ = Entry.ModRevision_;
-    else if (Entry.Key_ == UsedKey)
+      Sequence = Entry.Value_;
+    } else if (Entry.Key_ == UsedKey)
       UsedWorkers = &Entry.Value_;
     else if (Entry.Key_ == LastCommitKey)
-      LastCommit = &Entry;
+      LastCommit = &Entry.Value_;
     else if (Entry.Key_ == JobKeys::handover())
       Handover = &Entry.Value_;
     else if (Entry.Key_.compare(0, Prefix.size(), Prefix) == 0)
       if (auto Decoded = decodeOrLog<JobProgress>(Entry, decodeJobProgress))
         Progress[Entry.Key_.substr(Prefix.size())] = std::move(*Decoded);
   }
-  // A commit of an earlier version leaves the record of one before it.
-  if (LastCommit != nullptr && LastCommit->ModRevision_ == SequenceRevision_)
-    Coordinator_->restoreLastCommit(LastCommit->Value_);
+  if (LastCommit != nullptr)
+    Coordinator_->restoreLastCommit(*LastCommit, parseSequence(Sequence));
   if (UsedWorkers != nullptr)
     Coordinator_->restoreUsedWorkers(*UsedWorkers);
   if (Handover != nullptr)
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -232,7 +232,7 @@
         InFlightCommit_->AbandonedWorkers_.push_back(std::move(Row));
     }
   }
-  Batch.Writes_.emplace_back(LastCommitKey, lastCommitRecord());
+  Batch.Writes_.emplace_back(LastCommitKey, lastCommitRecord(Batch.Number_));
   while (!DirtyJobs_.empty() &&
          Batch.Writes_.size() < Settings_.MaxCommitWrites_) {
     std::string Id = std::move(DirtyJobs_.front());
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -53,7 +53,8 @@
   void setWorkers(const std::map<std::string, WorkerInfo> &Workers);
 
   // RecordAges.cpp
-  void restoreLastCommit(const std::string &Record);
+  void restoreLastCommit(const std::string &Record,
+                         std::pair<uint64_t, uint64_t> TermAndNumber);
 
   // Restoration.cpp
   void restoreUsedWorkers(const std::string &Record);
@@ -214,7 +215,7 @@
   };
   std::vector<const WorkerEntry *> clockWorkers() const;
   std::vector<internal::ClockReading> clockReadings() const;
-  std::string lastCommitRecord();
+  std::string lastCommitRecord(uint64_t Number);
   void noteClock(const WorkerEntry &Worker, int64_t ClockMs,
                  base::TimePoint SentAt);
   //! Takes the times that were read from a record for this much earlier.
--- a/src/jobs/internal/LastCommit.cpp
+++ b/src/jobs/internal/LastCommit.cpp
@@ -22,6 +22,7 @@
   };
   // Rounded towards the safe side.
   json Out = {{"term", From.Term_},
+              {"commit", From.Number_},
               {"used_workers_age_ms", Millis(From.UsedWorkersAge_)},
               {"store_silence_ms", Millis(From.StoreSilence_) + 1},
               {"clocks", clocksToJson(From.Clocks_)}};
@@ -36,7 +37,8 @@
            In[Name].get<uint64_t>() <= MaxAgeMs + 1;
   };
   if (!In.is_object() || !In.contains("term") ||
-      !In["term"].is_number_unsigned() || !IsAge("used_workers_age_ms") ||
+      !In["term"].is_number_unsigned() || !In.contains("commit") ||
+      !In["commit"].is_number_unsigned() || !IsAge("used_workers_age_ms") ||
       !IsAge("store_silence_ms") || !In.contains("clocks")) {
     base::logEvent(base::LogLevel::Error, "last-commit-unreadable",
                    {{"bytes", static_cast<int64_t>(Record.size())}});
@@ -45,9 +47,9 @@
   auto Age = [&](const char *Name) {
     return std::chrono::milliseconds(In[Name].get<int64_t>());
   };
-  return LastCommit{In["term"].get<uint64_t>(), RecordedStarts::fromJson(In),
-                    Age("used_workers_age_ms"), Age("store_silence_ms"),
-                    clocksFromJson(In["clocks"])};
+  return LastCommit{In["term"].get<uint64_t>(),   In["commit"].get<uint64_t>(),
+                    RecordedStarts::fromJson(In), Age("used_workers_age_ms"),
+                    Age("store_silence_ms"),      clocksFromJson(In["clocks"])};
 }
 
 } // namespace crocuslead::jobs::internal
--- a/src/jobs/internal/LastCommit.h
+++ b/src/jobs/internal/LastCommit.h
@@ -14,6 +14,8 @@
 //! Written with each commit of a coordinator.
 struct LastCommit {
   uint64_t Term_ = 0;
+  //! Of the commits of the term.
+  uint64_t Number_ = 0;
   RecordedStarts Starts_;
   //! At least this long since the record of used workers was written.
   base::Duration UsedWorkersAge_{};
@@ -22,8 +24,8 @@
   std::vector<ClockReading> Clocks_;
 };
 
-//! A JSON object: term, used_workers_age_ms, store_silence_ms, clocks and what
-//! RecordedStarts adds.
+//! A JSON object: term, commit, used_workers_age_ms, store_silence_ms, clocks
+//! and what RecordedStarts adds.
 std::string encodeLastCommit(const LastCommit &From);
 //! Empty if the record is unreadable, which is logged.
 std::optional<LastCommit> decodeLastCommit(const std::string &Record);
--- a/src/jobs/internal/RecordAges.cpp
+++ b/src/jobs/internal/RecordAges.cpp
@@ -71,10 +71,11 @@
   return {AreRecorded(false), AreRecorded(true)};
 }
 
-std::string Coordinator::Impl::lastCommitRecord() {
+std::string Coordinator::Impl::lastCommitRecord(uint64_t Number) {
   auto Confirmed = Confirmation_.confirmedByStoreAt();
   internal::LastCommit Out;
   Out.Term_ = Settings_.Term_;
+  Out.Number_ = Number;
   if (Confirmed)
     Out.Starts_ = recordedStarts();
   Out.UsedWorkersAge_ = now() - UsedWorkersWrittenBefore_;
@@ -83,10 +84,16 @@
   return internal::encodeLastCommit(Out);
 }
 
-void Coordinator::Impl::restoreLastCommit(const std::string &Record) {
+// A commit of an earlier version of the program leaves the record of one before
+// it.
+void Coordinator::Impl::restoreLastCommit(
+    const std::string &Record, std::pair<uint64_t, uint64_t> TermAndNumber) {
   LastCommit_ = internal::decodeLastCommit(Record);
-  if (!LastCommit_)
+  if (!LastCommit_ || std::make_pair(LastCommit_->Term_,
+                                     LastCommit_->Number_) != TermAndNumber) {
+    LastCommit_.reset();
     return;
+  }
   LastCommitAge_ = RecordAge{LastCommit_->Clocks_, std::nullopt, now()};
   base::logEvent(
       base::LogLevel::Info, "last-commit-read",
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -206,6 +206,7 @@
   }
   for (const auto &[Key, Value] : Batch.Writes_)
     Stored_[Key] = Value;
+  LastCommit_ = {Term, Batch.Number_};
   Sender->confirmTerm(SentAt, Revision_);
   Sender->commitDone(Batch.Number_, CommitResult::Durable);
 }
@@ -230,7 +231,7 @@
   Coordinator_->setConfig(Config_);
   publishWorkers();
   if (auto It = Stored_.find(Coordinator::LastCommitKey); It != Stored_.end())
-    Coordinator_->restoreLastCommit(It->second);
+    Coordinator_->restoreLastCommit(It->second, LastCommit_);
   if (auto It = Stored_.find(Coordinator::UsedWorkersKey); It != Stored_.end())
     Coordinator_->restoreUsedWorkers(It->second);
   if (auto It = Stored_.find(HandoverKey); It != Stored_.end())
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -174,6 +174,8 @@
   //! By task.
   std::map<std::string, SentStart> SentStarts_;
   std::map<std::string, std::string> Stored_;
+  //! Term and number of the last commit.
+  std::pair<uint64_t, uint64_t> LastCommit_;
   std::unique_ptr<Coordinator> Coordinator_;
   uint64_t Term_ = 0;
   //! The last term whose coordinator may have sent requests to workers.
--- a/tests/jobs/TakeoverDelays.tests.cpp
+++ b/tests/jobs/TakeoverDelays.tests.cpp
@@ -285,6 +285,23 @@
   CHECK(Case.runsWithin(PromptStart, "f.0.1.1"));
 }
 
+TEST_CASE("A rest of a lease is taken for over by a reader that does not know "
+          "the age of its record") {
+  Fleet Case(4);
+  std::string Lost = Case.workerOf(Task);
+  setReachable(Case.World_.worker(Lost), false);
+  Case.World_.startSuccessor();
+  Case.addWorkers(2);
+  Case.World_.run(milliseconds(1'500));
+  SUBCASE("there is none") {
+    Case.World_.Stored_.erase(Coordinator::LastCommitKey);
+  }
+  SUBCASE("it is that of another commit") { ++Case.World_.LastCommit_.second; }
+  Case.World_.startSuccessor();
+  Case.World_.run(seconds(10));
+  CHECK(Case.World_.startsOf(Task) == 2);
+}
+
 TEST_CASE("A start of a long-running task that was on its way at a crash is "
           "repeated while a worker out of reach may run it") {
   JobWorld World;
