Trust the record of a start only where no run can have bypassed it

A second reader showed two double runs, each in a test: - A step counted as never started if a task that it waits for ended in this term. An earlier term may have known of an end that was lost with its worker before it was durable. Now only an end counts whose run was started by the term that first knew the job (recorded with its progress) and adopted by this one, or a step that follows such an end. - A long-running task restarted without a record on the worker that was on record while the store failed. That worker's next incarnation may take the start, and a successor took it for located.

By reading: an adopted run that no record names yet keeps the commit from saying that all starts are on record, and members of a gang are cancelled together.

--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -166,6 +166,7 @@
   json Out = {{"state", jobStateName(Progress.State_)}};
   if (Progress.EndedAt_)
     Out["ended"] = unixMillis(*Progress.EndedAt_);
+  putNonZero(Out, "first_term", Progress.FirstTerm_);
   putNonZero(Out, "occurrences", Progress.OccurrencesDone_);
   for (const TaskPosition &Position : Progress.DoneTasks_)
     Out["done"].push_back(positionToJson(Position));
@@ -195,6 +196,7 @@
                             "cannot decode stored record: unknown job state '" +
                                 In.at("state").get<std::string>() + "'");
         Out.State_ = *State;
+        Out.FirstTerm_ = In.value("first_term", uint64_t{0});
         if (In.contains("ended"))
           Out.EndedAt_ = wallTime(In["ended"].get<int64_t>());
         Out.OccurrencesDone_ = In.value("occurrences", uint32_t{0});
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -77,6 +77,9 @@
 //! Stored progress of a job.
 struct JobProgress {
   JobState State_ = JobState::Queued;
+  //! The term that learned of the job when it was accepted; 0 if it is not
+  //! known.
+  uint64_t FirstTerm_ = 0;
   //! Only set in a final state.
   std::optional<base::WallTime> EndedAt_;
   //! Occurrences with a lower number are done.
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -62,6 +62,7 @@
 JobProgress Coordinator::Impl::progressRecord(const JobEntry &Job) const {
   JobProgress Out;
   Out.State_ = Job.State_;
+  Out.FirstTerm_ = Job.FirstTerm_;
   if (isFinal(Job.State_)) {
     Out.EndedAt_ = Job.FinishedWallTime_;
     return Out;
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -148,6 +148,10 @@
   void concludeUnreportedRun(RunEntry &Run, const char *Reason);
   // Results.cpp: ends that workers list.
   void handleResult(WorkerEntry &Worker, const RunResult &Result);
+  //! No earlier term can have known that its task is done.
+  bool isEndNews(const RunEntry &Run) const;
+  //! The term that gave a run its number.
+  static uint64_t termOfRun(uint64_t Number);
   void recordFailure(JobEntry &Job, StepEntry &Step, TaskEntry &Task,
                      const RunResult &Result);
   void recordOutcome(WorkerEntry &Worker, RunEntry *Run,
@@ -175,12 +179,16 @@
   void announceStart(RunEntry &Run);
   //! Ends a run of which nothing was sent.
   void cancelStart(RunEntry &Run);
+  //! The same for all members of a gang.
+  void cancelAnnounced(RunEntry &Run);
   void cancelStarts(WorkerEntry &Worker);
   void sendAnnouncedStarts();
   //! While the store fails, a record can't be made.
   bool mayStartUnrecorded(const RunEntry &Run) const;
   //! Tasks without a run whose record still names a worker.
   void recordLostRuns();
+  //! The record names its worker.
+  static bool isRecorded(const RunEntry &Run);
   bool areOwnStartsRecorded(bool LongRunning);
   //! Runs of earlier terms on a worker that has not answered, which are not
   //! located.
@@ -429,7 +437,7 @@
   std::vector<Candidate> rankWorkers(const StepEntry &Step,
                                      const std::string &PreferredRack);
   Candidate *bestCandidate(std::vector<Candidate> &Ranked,
-                           const StepEntry &Step, const TaskEntry &Task) const;
+                           const TaskEntry &Task) const;
   WorkerEntry *chooseWorker(const StepEntry &Step, const TaskEntry &Task,
                             const std::string &PreferredRack);
   bool fits(const StepEntry &Step, WorkerEntry &Worker) const;
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -18,6 +18,10 @@
 
 } // namespace
 
+uint64_t Coordinator::Impl::termOfRun(uint64_t Number) {
+  return (Number - 1) / RunsPerTerm + 1;
+}
+
 Coordinator::Impl::JobEntry *Coordinator::Impl::findJob(const std::string &Id) {
   auto It = Jobs_.find(Id);
   return It == Jobs_.end() ? nullptr : It->second.get();
@@ -81,6 +85,8 @@
   Job.Sequence_ = NextSequence_++;
   Job.Restored_ = Restored;
   Job.NextRunNumber_ = (Settings_.Term_ - 1) * RunsPerTerm + 1;
+  if (!Restored)
+    Job.FirstTerm_ = Settings_.Term_;
   updateCompletionTarget(Job);
   if (Progress)
     restoreProgress(Job, *Progress);
@@ -106,7 +112,6 @@
       if (StepEntry *Step = findStep(Job, Position)) {
         TaskEntry &Task = Step->Tasks_[Position.Index_];
         Task.Location_ = Location;
-        Task.RecordedWorker_ = Location.Worker_;
       }
     }
     for (const auto &[Position, Unfinished] : Progress->UnfinishedTasks_) {
@@ -132,6 +137,7 @@
 void Coordinator::Impl::restoreProgress(JobEntry &Job,
                                         const JobProgress &Progress) {
   Job.State_ = Progress.State_;
+  Job.FirstTerm_ = Progress.FirstTerm_;
   Job.DurableState_ = Progress.State_;
   Job.OccurrencesDone_ = Progress.OccurrencesDone_;
   Job.NextOccurrence_ = Progress.OccurrencesDone_;
@@ -200,6 +206,7 @@
     Step.CriticalTime_ = CriticalTime;
     Step.StartsBeforeRelease_ = ReservedStarts_;
     bool IsFirstRelease = isFirstRelease(Occurrence, Dependencies);
+    Step.FirstReleased_ = IsFirstRelease;
     for (TaskEntry &Task : Step.Tasks_) {
       Task.AccountedUntil_ = now();
       Task.Recovered_ = Task.Recovered_ || IsFirstRelease;
--- a/src/jobs/internal/Locations.cpp
+++ b/src/jobs/internal/Locations.cpp
@@ -61,7 +61,6 @@
                                     std::optional<TaskLocation> Location) {
   Task.Location_ = std::move(Location);
   Task.LocationStale_ = false;
-  Task.RecordedWorker_ = Task.Location_ ? Task.Location_->Worker_ : "";
 }
 
 // Its record goes with the next change of the job, or once it has waited.
@@ -81,6 +80,7 @@
       if ((Task.Location_ || Task.LocationStale_) && Task.Runs_.empty() &&
           now() - Task.AccountedUntil_ >= LostRunDelay &&
           hasRecovered(*Step, Task)) {
+        Task.Recovered_ = true;
         setLocation(Task, std::nullopt);
         markLocationDirty(*Step->Job_);
         Task.LocationVersion_ = Step->Job_->Version_;
@@ -97,8 +97,6 @@
   JobEntry &Job = *Run.Job_;
   TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
   Run.Phase_ = RunPhase::Announced;
-  if (Job.DurableVersion_ >= Task.LocationVersion_)
-    Run.PreviousLocation_ = Task.RecordedWorker_;
   setLocation(Task, TaskLocation{Run.Worker_->Info_.Id_, false});
   markDirty(Job);
   Run.AnnouncedVersion_ = Task.LocationVersion_ = Job.Version_;
@@ -110,6 +108,19 @@
   removeRun(Run, internal::TimeUse::Capacity);
 }
 
+// The members of a gang start together.
+void Coordinator::Impl::cancelAnnounced(RunEntry &Run) {
+  if (!Run.Step_->Spec_->Gang_) {
+    cancelStart(Run);
+    return;
+  }
+  uint64_t Number = Run.Number_;
+  for (TaskEntry &Task : Run.Step_->Tasks_)
+    for (RunEntry *Each : std::vector<RunEntry *>(Task.Runs_))
+      if (Each->Phase_ == RunPhase::Announced && Each->Number_ == Number)
+        cancelStart(*Each);
+}
+
 void Coordinator::Impl::cancelStarts(WorkerEntry &Worker) {
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_))
     if (Run->Phase_ == RunPhase::Announced)
@@ -117,18 +128,16 @@
 }
 
 // While the store fails, a task that waited for the record would be down for as
-// long. On the worker that the record names it may start all the same. A
-// successor doubts the record of a finite task if it learns of an end that is
-// listed until it is durable, and any record if the store was silent for long.
+// long. A successor doubts the record of a finite task if it learns of an end
+// that is listed until it is durable, and any record if the store was silent
+// for long.
 bool Coordinator::Impl::mayStartUnrecorded(const RunEntry &Run) const {
   const TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
-  bool InPlace = !Run.PreviousLocation_.empty() &&
-                 Run.PreviousLocation_ == Run.Worker_->Info_.Id_;
   bool EndListed = !isStartRecorded(*Run.Step_->Spec_) && Task.Previous_ &&
                    Task.Previous_->Listed_ &&
                    Run.Job_->DurableVersion_ < Task.Previous_->EndVersion_;
   return isStoreOut(Run.Step_->Spec_->LongRunning_) ||
-         (isStoreFailing() && (InPlace || EndListed));
+         (isStoreFailing() && EndListed);
 }
 
 void Coordinator::Impl::sendAnnouncedStarts() {
@@ -140,7 +149,7 @@
     if (Run == nullptr)
       continue;
     if (!isAvailable(*Run->Worker_)) {
-      cancelStart(*Run);
+      cancelAnnounced(*Run);
       continue;
     }
     bool Recorded = Run->Job_->DurableVersion_ >= Run->AnnouncedVersion_;
@@ -154,13 +163,18 @@
   }
 }
 
+bool Coordinator::Impl::isRecorded(const RunEntry &Run) {
+  const TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
+  return Task.Location_ && Task.Location_->Worker_ == Run.Worker_->Info_.Id_ &&
+         Run.Job_->DurableVersion_ >= Task.LocationVersion_;
+}
+
 bool Coordinator::Impl::areOwnStartsRecorded(bool LongRunning) {
   UnrecordedRuns_.erase(
       std::remove_if(UnrecordedRuns_.begin(), UnrecordedRuns_.end(),
                      [this](uint64_t Serial) {
                        const RunEntry *Run = findRun(Serial);
-                       return Run == nullptr || Run->Job_->DurableVersion_ >=
-                                                    Run->AnnouncedVersion_;
+                       return Run == nullptr || isRecorded(*Run);
                      }),
       UnrecordedRuns_.end());
   return std::none_of(
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -26,7 +26,6 @@
 // Best-effort tasks start only on workers that allow this share of full speed.
 constexpr double MinStartSpeed = 0.8;
 constexpr double AvoidedPenalty = 5;
-constexpr double RecordedBonus = 20;
 // Tasks that have waited for this long also start on workers on probation: on a
 // full fleet, a longer wait would cost more than a run on a lost worker.
 constexpr auto ProbationPatience = std::chrono::milliseconds(300);
@@ -181,10 +180,8 @@
 // Returns the candidate with the highest score for a task, or null.
 Coordinator::Impl::Candidate *
 Coordinator::Impl::bestCandidate(std::vector<Candidate> &Ranked,
-                                 const StepEntry &Step,
                                  const TaskEntry &Task) const {
   bool Isolate = mustIsolate(Task);
-  bool IsStartRecorded = isStartRecorded(*Step.Spec_);
   Candidate *Best = nullptr;
   double BestScore = 0;
   for (Candidate &Ranking : Ranked) {
@@ -198,10 +195,6 @@
     if (!Task.AvoidedWorker_.empty() &&
         Task.AvoidedWorker_ == Ranking.Worker_->Info_.Id_)
       Score -= AvoidedPenalty;
-    // Elsewhere the start would wait for the store.
-    if (isStoreFailing() && IsStartRecorded && !Task.RecordedWorker_.empty() &&
-        Task.RecordedWorker_ == Ranking.Worker_->Info_.Id_)
-      Score += RecordedBonus;
     if (Best == nullptr || Score > BestScore) {
       Best = &Ranking;
       BestScore = Score;
@@ -214,7 +207,7 @@
 Coordinator::Impl::chooseWorker(const StepEntry &Step, const TaskEntry &Task,
                                 const std::string &PreferredRack) {
   std::vector<Candidate> Ranked = rankWorkers(Step, PreferredRack);
-  Candidate *Best = bestCandidate(Ranked, Step, Task);
+  Candidate *Best = bestCandidate(Ranked, Task);
   return Best != nullptr ? Best->Worker_ : nullptr;
 }
 
@@ -234,7 +227,7 @@
       break;
     if (!Ranked)
       Ranked = rankWorkers(Step, Rack);
-    Candidate *Chosen = bestCandidate(*Ranked, Step, Task);
+    Candidate *Chosen = bestCandidate(*Ranked, Task);
     // An isolated task may lack a worker where others don't.
     if (Chosen == nullptr && mustIsolate(Task))
       continue;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -359,6 +359,9 @@
   Run.Phase_ = RunPhase::Running;
   Run.Adopted_ = true;
   noteLocated(Run);
+  // Until then this term must not say that all starts are on record.
+  if ((Task->Location_ || isStartRecorded(*Step.Spec_)) && !isRecorded(Run))
+    UnrecordedRuns_.push_back(Run.Serial_);
   if (Step.Spec_->BestEffort_)
     Run.SpeedPercent_ = internal::UnknownSpeed;
   Run.ProgressPercent_ = Status.ProgressPercent_;
--- a/src/jobs/internal/Results.cpp
+++ b/src/jobs/internal/Results.cpp
@@ -65,6 +65,18 @@
   }
 }
 
+// A run of the term that first knew the job follows no earlier end of its task.
+// A poll of that term may still wait at the worker when this one adopts the
+// run.
+bool Coordinator::Impl::isEndNews(const RunEntry &Run) const {
+  if (Run.Step_->Spec_->Speculative_)
+    return false;
+  bool IsFirst = Run.Adopted_ &&
+                 termOfRun(Run.Number_) == Run.Job_->FirstTerm_ &&
+                 now() - Run.KnownSince_ > Settings_.Times_.PollWait_;
+  return IsFirst || Run.Step_->FirstReleased_;
+}
+
 void Coordinator::Impl::handleResult(WorkerEntry &Worker,
                                      const RunResult &Result) {
   RunEntry *Run = findRunOnWorker(Worker, Result.Task_, Result.Run_);
@@ -87,7 +99,7 @@
   if (Run != nullptr) {
     markStarted(*Run->Job_);
     TaskEntry &Task = Run->Step_->Tasks_[Run->Position_.Index_];
-    Task.EndedInTerm_ = !Run->Step_->Spec_->Speculative_;
+    Task.EndedInTerm_ = isEndNews(*Run);
     if (Result.Outcome_ == RunOutcome::Done ||
         Result.Outcome_ == RunOutcome::Failed)
       proveRun(*Run);
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -87,8 +87,6 @@
   bool Located_ = false;
   //! Version of the job that names its worker, if that is recorded.
   uint64_t AnnouncedVersion_ = 0;
-  //! The worker that the record named before, or none.
-  std::string PreviousLocation_;
   //! Started in an earlier term, so its start time is unknown.
   bool Adopted_ = false;
   //! Started from a checkpoint.
@@ -129,15 +127,13 @@
   std::optional<TaskLocation> Location_;
   //! The durable record may still name a worker although there is no run.
   bool LocationStale_ = false;
-  //! The worker that the record named last, and the version of the job that did
-  //! so.
-  std::string RecordedWorker_;
+  //! Version of the job that contains the last change of Location_.
   uint64_t LocationVersion_ = 0;
   //! No run of an earlier term can be alive that this term does not see.
   bool Recovered_ = false;
   //! This term learned of an end of the task, so an earlier one may have too.
   bool EarlierRunEnded_ = false;
-  //! It is done, and ran when this term first saw its run.
+  //! It is done, and no earlier term can have known that.
   bool EndedInTerm_ = false;
   std::vector<RunEntry *> Runs_;
   //! Highest number of a run that this coordinator started or found running.
@@ -166,6 +162,8 @@
   uint32_t DoneCount_ = 0;
   //! All dependencies are complete, so tasks may start.
   bool Released_ = false;
+  //! No earlier term can have known that.
+  bool FirstReleased_ = false;
   //! Mean of RunSamples_ completed run times; predicts those of the others.
   double MeanRunSeconds_ = 0;
   uint32_t RunSamples_ = 0;
@@ -209,6 +207,9 @@
   base::TimePoint OverdueAt_;
   uint64_t Sequence_ = 0;
   uint64_t NextRunNumber_ = 1;
+  //! The term that learned of the job when it was accepted; 0 if it is not
+  //! known.
+  uint64_t FirstTerm_ = 0;
   //! Restored from an earlier term: its tasks may be running on workers that
   //! have not been polled yet.
   bool Restored_ = false;
