Write the jobs of starts on their way only with the time that bounds them

A row of a worker that had answered nothing could name them without that time, which moved them to the place of other fields. No reader took them for these, by reading.

--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -159,10 +159,10 @@
     Row.LeaseLeftTerm_ = Settings_.Term_;
     Row.UnlocatedLeft_ = recordedUnlocatedLeft(*Worker);
     auto Unlocated = UnlocatedRuns_.find(Worker->Info_.Id_);
-    if (Unlocated != UnlocatedRuns_.end())
-      Row.UnlocatedJobs_ = Unlocated->second.Jobs_;
-    else if (Row.UnlocatedLeft_)
-      Row.UnlocatedJobs_ = unlocatedJobs(*Worker);
+    if (Row.UnlocatedLeft_)
+      Row.UnlocatedJobs_ = Unlocated != UnlocatedRuns_.end()
+                               ? Unlocated->second.Jobs_
+                               : unlocatedJobs(*Worker);
     Out.push_back(std::move(Row));
   }
   for (const auto &[Id, Gone] : AbandonedIncarnations_) {
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -146,7 +146,13 @@
               bool Listed = false);
   //! Removes a run that is over although its worker reported no end.
   void concludeUnreportedRun(RunEntry &Run, const char *Reason);
-  // Results.cpp: ends that workers list.
+  void reportDuplicate(const RunEntry &Found, const RunEntry &Known);
+  void markSuperseded(const char *SeenAt, const WorkerEntry &Worker);
+  RunEntry *findRun(uint64_t Serial);
+  RunEntry *findRunOnWorker(WorkerEntry &Worker, const TaskId &Id,
+                            uint64_t Number);
+
+  // Results.cpp: ends of runs that workers list.
   void handleResult(WorkerEntry &Worker, const RunResult &Result);
   //! No earlier term can have known that its task is done.
   bool isEndNews(const RunEntry &Run) const;
@@ -156,21 +162,16 @@
                      const RunResult &Result);
   void recordOutcome(WorkerEntry &Worker, RunEntry *Run,
                      const RunResult &Result);
-  // Runs.cpp as well.
-  void reportDuplicate(const RunEntry &Found, const RunEntry &Known);
-  void markSuperseded(const char *SeenAt, const WorkerEntry &Worker);
-  RunEntry *findRun(uint64_t Serial);
-  RunEntry *findRunOnWorker(WorkerEntry &Worker, const TaskId &Id,
-                            uint64_t Number);
 
   // Locations.cpp: on which worker a run may be alive.
   void noteLocated(RunEntry &Run);
   void recordLocations(const WorkerEntry &Worker);
   void recordLocation(const RunEntry &Run);
-  //! Without a record of its location the task has no run.
+  //! A task of the step that has no recorded location has no run.
   static bool isStartRecorded(const StepSpec &Spec) {
     return Spec.LongRunning_ && !Spec.Speculative_;
   }
+  //! Before a start is sent, the record has to name the worker.
   static bool mustRecordStart(const StepEntry &Step, const TaskEntry &Task);
   static void setLocation(TaskEntry &Task,
                           std::optional<TaskLocation> Location);
