--- a/src/jobs/WorkerPort.h
+++ b/src/jobs/WorkerPort.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "base/NameTable.h"
 #include "jobs/JobSpec.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -145,6 +147,34 @@
   WorkerReport Report_;
 };
 
+enum class RequestKind : uint8_t { Start, Stop, Throttle, Poll };
+constexpr std::size_t RequestKindCount = 4;
+
+constexpr auto RequestKindNames =
+    base::makeNameTable<RequestKind>({{RequestKind::Start, "start"},
+                                      {RequestKind::Stop, "stop"},
+                                      {RequestKind::Throttle, "throttle"},
+                                      {RequestKind::Poll, "poll"}});
+
+struct RequestTraffic {
+  uint64_t Requests_ = 0;
+  //! Of ended requests and their replies, headers included.
+  uint64_t BytesSent_ = 0;
+  uint64_t BytesReceived_ = 0;
+};
+
+//! Requests to workers that this process sent, by kind.
+struct RequestCounters {
+  std::array<RequestTraffic, RequestKindCount> Kinds_;
+
+  RequestTraffic &of(RequestKind Kind) {
+    return Kinds_[static_cast<std::size_t>(Kind)];
+  }
+  const RequestTraffic &of(RequestKind Kind) const {
+    return Kinds_[static_cast<std::size_t>(Kind)];
+  }
+};
+
 //! Sends requests to workers. Each callback is invoked exactly once, on the
 //! event loop.
 class WorkerPort {
