--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -28,6 +28,9 @@
   //! Complete answer when Failure_ is None.
   Response Answer_;
   std::string Detail_;
+  //! From the end of the header to the end of the answer; only of patient
+  //! reads.
+  base::Duration BodyTime_{};
   //! Bytes of this exchange, headers included.
   uint64_t BytesSent_ = 0;
   uint64_t BytesReceived_ = 0;
--- a/src/store/KeyValueStore.h
+++ b/src/store/KeyValueStore.h
@@ -83,6 +83,8 @@
 struct WatchBatch {
   std::vector<WatchEvent> Events_;
   int64_t Revision_ = 0;
+  //! For how long the answer was on its way after it began to arrive.
+  base::Duration Age_{};
 };
 
 //! Keeps a watch open; destroying it cancels the watch.
--- a/src/store/Mirror.cpp
+++ b/src/store/Mirror.cpp
@@ -101,7 +101,7 @@
                      if (Weak.expired())
                        return;
                      if (const auto *Batch = std::get_if<WatchBatch>(&Result)) {
-                       ConfirmedAt_ = Clock_.now();
+                       ConfirmedAt_ = Clock_.now() - Batch->Age_;
                        for (const WatchEvent &Event : Batch->Events_)
                          apply(Event);
                        return;
