Send nothing on a connection that was made too late

Cause: after a pause of the process a connection that was made meanwhile is handled before the timer of its exchange, so the request went out after its deadline. A start that is sent so late bears the term in force, and no fence stops it on a later incarnation of its worker. Change: the time for connecting is checked before the request is written.

--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -59,22 +59,27 @@
                });
     return;
   }
-  Socket_.async_connect(
-      *End, [Self = shared_from_this()](const asio::error_code &Failure) {
-        if (!Self->Exchange_)
-          return;
-        if (Failure) {
-          Self->fail(ExchangeFailure::ConnectFailed, Failure.message());
-          return;
-        }
-        asio::error_code Ignored;
-        Self->Socket_.set_option(tcp::no_delay(true), Ignored);
-        Self->Socket_.non_blocking(true, Ignored);
-        if (auto Pool = Self->Pool_.lock())
-          Pool->connected(Self->Exchange_);
-        Self->sendRest();
-        Self->read();
-      });
+  Socket_.async_connect(*End, [Self = shared_from_this()](
+                                  const asio::error_code &Failure) {
+    if (!Self->Exchange_)
+      return;
+    if (Failure) {
+      Self->fail(ExchangeFailure::ConnectFailed, Failure.message());
+      return;
+    }
+    // After a pause of the process this comes before the timer.
+    if (std::chrono::steady_clock::now() >= Self->Exchange_->ConnectDeadline_) {
+      Self->fail(ExchangeFailure::ConnectFailed, "connected too late");
+      return;
+    }
+    asio::error_code Ignored;
+    Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+    Self->Socket_.non_blocking(true, Ignored);
+    if (auto Pool = Self->Pool_.lock())
+      Pool->connected(Self->Exchange_);
+    Self->sendRest();
+    Self->read();
+  });
 }
 
 void Connection::send(std::shared_ptr<PendingExchange> Exchange) {
