Bound a commit by its bytes

Cause, by reading: a commit of up to 29 records had no bound on its bytes and 1.2 s in all; on a link of 2 Mbit/s about 225 kB of values fit. One that is larger is cut, queued again as it was, and nothing is durable any more. Change: after 64 kB of progress the other jobs wait for the next commit. The record of used workers and a handover of up to 700 kB keep the shape.

--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -16,6 +16,8 @@
 constexpr auto MinRecordedRecovery = std::chrono::seconds(1);
 // Longer than CommitBatchDelay_: no caller waits for a location.
 constexpr auto LocationBatchDelay = std::chrono::milliseconds(60);
+// In base64 a link of 2 Mbit/s takes it in a quarter of the time for a call.
+constexpr std::size_t MaxCommitBytes = 64U << 10U;
 constexpr auto MaxCommitAge = std::chrono::milliseconds(500);
 
 } // namespace
@@ -234,7 +236,8 @@
     }
   }
   Batch.Writes_.emplace_back(LastCommitKey, lastCommitRecord(Batch.Number_));
-  while (!DirtyJobs_.empty() &&
+  std::size_t Bytes = 0;
+  while (!DirtyJobs_.empty() && Bytes < MaxCommitBytes &&
          Batch.Writes_.size() < Settings_.MaxCommitWrites_) {
     std::string Id = std::move(DirtyJobs_.front());
     DirtyJobs_.pop_front();
@@ -246,6 +249,7 @@
     InFlightCommit_->Versions_.emplace_back(Id, Job->Version_);
     Batch.Writes_.emplace_back(ProgressPrefix + Id,
                                encode(progressRecord(*Job)));
+    Bytes += Batch.Writes_.back().second.size();
   }
   DirtyJobsSince_ = now();
   CommitUrgent_ = !DirtyJobs_.empty() && CommitUrgent_;
