Log what room a waiting step would have and for whom workers are reserved

step-waiting said that no worker had the CPU, but not whether finite tasks held it or long-running ones, nor how many workers were reserved in all, so a fleet that is too small looked like one whose room goes to smaller tasks. It now gives the free CPU, that of finite tasks, the workers that would hold a task beside their long-running tasks, and all reserved workers. worker-reserved tells for whom a worker is kept and when the task is expected to fit.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -466,6 +466,7 @@
   std::size_t reservableWorkers(const StepEntry &Step) const;
   void reserveIfStarving(StepEntry &Step);
   bool reserveWorkers(const StepEntry &Step);
+  void logReservation(const StepEntry &Step, WorkerEntry &Worker) const;
   std::optional<base::TimePoint> expectedFit(const StepEntry &Step,
                                              const WorkerEntry &Worker) const;
   bool isHeldForOther(const StepEntry &Step, const WorkerEntry &Worker) const;
--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -1,5 +1,7 @@
 #include "jobs/internal/Impl.h"
 
+#include "base/Log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -186,9 +188,33 @@
   std::partial_sort(
       Candidates.begin(), End, Candidates.end(),
       [](const auto &A, const auto &B) { return A.first < B.first; });
-  for (auto It = Candidates.begin(); It != End; ++It)
-    It->second->Reservation_ = internal::Reservation{&Step, It->first};
+  for (auto It = Candidates.begin(); It != End; ++It) {
+    WorkerEntry &Worker = *It->second;
+    Worker.Reservation_ = internal::Reservation{&Step, It->first};
+    logReservation(Step, Worker);
+  }
   return true;
 }
 
+// Logged once for as long as the worker is reserved for the same job.
+void Coordinator::Impl::logReservation(const StepEntry &Step,
+                                       WorkerEntry &Worker) const {
+  if (Worker.LastReservedFor_ == Step.Job_->Id_)
+    return;
+  Worker.LastReservedFor_ = Step.Job_->Id_;
+  base::Resources Free = Worker.Info_.Capacity_ - Worker.Reserved_;
+  base::logEvent(
+      base::LogLevel::Info, "worker-reserved",
+      {{"job", Step.Job_->Id_},
+       {"step", static_cast<int64_t>(Step.Number_)},
+       {"worker", Worker.Info_.Id_},
+       {"task_mcpu", Step.Spec_->Request_.MilliCpu_},
+       {"task_memory_mb", Step.Spec_->Request_.MemoryMb_},
+       {"lost_run", hasLostRun(Step)},
+       {"waited_ms", base::toMillis(longestWait(Step))},
+       {"free_mcpu", Free.MilliCpu_},
+       {"free_memory_mb", Free.MemoryMb_},
+       {"ready_in_ms", base::toMillis(Worker.Reservation_->ReadyAt_ - now())}});
+}
+
 } // namespace crocuslead::jobs
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -366,6 +366,8 @@
   //! It was lost lately, so until then it only gets tasks that have waited.
   base::TimePoint ProbationUntil_;
   std::optional<Reservation> Reservation_;
+  //! Id of the job for which it was last reserved.
+  std::string LastReservedFor_;
   //! Smoothed ratio of run times on this worker to the mean of all workers.
   double Slowdown_ = 1;
   //! CPU usage of the best-effort tasks at the last poll.
--- a/src/jobs/internal/Waits.cpp
+++ b/src/jobs/internal/Waits.cpp
@@ -16,6 +16,19 @@
 // Limits the lines of one check, which visits all workers for each of them.
 constexpr int MaxWaitsPerCheck = 2;
 
+base::Resources reservedByFiniteRuns(const internal::WorkerEntry &Worker) {
+  base::Resources Out;
+  for (const internal::RunEntry *Run : Worker.Runs_) {
+    const StepSpec &Spec = *Run->Step_->Spec_;
+    if (Spec.LongRunning_)
+      continue;
+    Out += Spec.Request_;
+    if (Spec.BestEffort_)
+      Out.MilliCpu_ -= Spec.Request_.MilliCpu_;
+  }
+  return Out;
+}
+
 } // namespace
 
 std::vector<WaitingTasks> noWaitingTasks() {
@@ -137,7 +150,9 @@
                                 base::Duration Wait) const {
   const StepSpec &Spec = *Step.Spec_;
   const QueueConfig *Queue = queueConfig(*Step.Job_);
-  int64_t ReservedMilliCpu = Spec.BestEffort_ ? 0 : Spec.Request_.MilliCpu_;
+  base::Resources Required = Spec.Request_;
+  if (Spec.BestEffort_)
+    Required.MilliCpu_ = 0;
   int64_t WithLabel = 0;
   int64_t Draining = 0;
   int64_t Unrecorded = 0;
@@ -149,7 +164,11 @@
   int64_t WithoutCpu = 0;
   int64_t WithoutMemory = 0;
   int64_t LargestFreeMilliCpu = 0;
+  int64_t FreeMilliCpu = 0;
+  int64_t FiniteMilliCpu = 0;
+  int64_t FitsWithoutFinite = 0;
   int64_t Reserved = 0;
+  int64_t ReservedForAll = 0;
   for (const WorkerEntry *Worker : WorkerOrder_) {
     if (Queue == nullptr || Worker->Info_.Service_ != Queue->Service_ ||
         !hasRequiredLabel(Spec, *Worker))
@@ -167,7 +186,12 @@
     if (Worker->Reservation_ && Worker->Reservation_->Step_ == &Step)
       ++Reserved;
     base::Resources Free = Worker->Info_.Capacity_ - Worker->Reserved_;
-    WithoutCpu += Free.MilliCpu_ < ReservedMilliCpu ? 1 : 0;
+    ReservedForAll += Worker->Reservation_ ? 1 : 0;
+    FreeMilliCpu += Free.MilliCpu_;
+    base::Resources Finite = reservedByFiniteRuns(*Worker);
+    FiniteMilliCpu += Finite.MilliCpu_;
+    FitsWithoutFinite += Required.fitsIn(Free + Finite) ? 1 : 0;
+    WithoutCpu += Free.MilliCpu_ < Required.MilliCpu_ ? 1 : 0;
     WithoutMemory += Free.MemoryMb_ < Spec.Request_.MemoryMb_ ? 1 : 0;
     LargestFreeMilliCpu = std::max(LargestFreeMilliCpu, Free.MilliCpu_);
   }
@@ -202,7 +226,11 @@
        {"at_step_limit", AtStepLimit},
        {"without_cpu", WithoutCpu},
        {"without_memory", WithoutMemory},
-       {"largest_free_mcpu", LargestFreeMilliCpu}});
+       {"largest_free_mcpu", LargestFreeMilliCpu},
+       {"free_mcpu", FreeMilliCpu},
+       {"finite_mcpu", FiniteMilliCpu},
+       {"fits_without_finite", FitsWithoutFinite},
+       {"reserved_for_all", ReservedForAll}});
 }
 
 } // namespace crocuslead::jobs
