Count the time of a stop from its request when workers are reserved

The room of a run that is being stopped was expected a whole stop timeout from now at each renewal, so the expected time never came closer, and finite tasks of up to 0.9 s went on starting as backfill on the room that a long-running job had left, also right before the stop ended. On a fleet that is full of long-running tasks that is most of the room that comes free at all. It is now expected a stop timeout after the stop was requested.

--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -137,7 +137,9 @@
   std::vector<std::pair<base::TimePoint, const RunEntry *>> Ends;
   for (const RunEntry *Run : Worker.Runs_) {
     if (Run->Phase_ == RunPhase::Stopping)
-      Ends.emplace_back(now() + Settings_.Times_.StopTimeout_, Run);
+      Ends.emplace_back(
+          std::max(now(), Run->PhaseSince_ + Settings_.Times_.StopTimeout_),
+          Run);
     else if (!Run->Step_->Spec_->LongRunning_)
       Ends.emplace_back(
           std::max(now(), Run->StartedAt_ + expectedRunTime(*Run->Step_)), Run);
