--- a/src/jobs/internal/Reservations.cpp
+++ b/src/jobs/internal/Reservations.cpp
@@ -1,5 +1,7 @@
 #include "jobs/internal/Impl.h"
 
+#include "base/Log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -102,13 +104,17 @@
 }
 
 // Reservations keep smaller tasks out, which would take each gap. Tasks that
-// are at least as large wait for the same gaps, in the order of the queue.
+// are at least as large wait for the same gaps, in the order of the queue. A
+// long-running task that lost its run and fits now is kept out by nobody: while
+// many of them wait, held room is idle at the cost of their service.
 // Backfill: smaller tasks still start if they end before the step can start
 // there, or leave enough room for it.
 bool Coordinator::Impl::isHeldForOther(const StepEntry &Step,
                                        const WorkerEntry &Worker) const {
   if (!Worker.Reservation_ || Worker.Reservation_->Step_ == &Step)
     return false;
+  if (hasLostRun(Step))
+    return false;
   const StepSpec &Spec = *Step.Spec_;
   const StepSpec &Holder = *Worker.Reservation_->Step_->Spec_;
   if (!Spec.BestEffort_ && Holder.Request_.fitsIn(Spec.Request_))
@@ -135,7 +141,9 @@
   std::vector<std::pair<base::TimePoint, const RunEntry *>> Ends;
   for (const RunEntry *Run : Worker.Runs_) {
     if (Run->Phase_ == RunPhase::Stopping)
-      Ends.emplace_back(now() + Settings_.Times_.StopTimeout_, Run);
+      Ends.emplace_back(
+          std::max(now(), Run->PhaseSince_ + Settings_.Times_.StopTimeout_),
+          Run);
     else if (!Run->Step_->Spec_->LongRunning_)
       Ends.emplace_back(
           std::max(now(), Run->StartedAt_ + expectedRunTime(*Run->Step_)), Run);
@@ -186,9 +194,33 @@
   std::partial_sort(
       Candidates.begin(), End, Candidates.end(),
       [](const auto &A, const auto &B) { return A.first < B.first; });
-  for (auto It = Candidates.begin(); It != End; ++It)
-    It->second->Reservation_ = internal::Reservation{&Step, It->first};
+  for (auto It = Candidates.begin(); It != End; ++It) {
+    WorkerEntry &Worker = *It->second;
+    Worker.Reservation_ = internal::Reservation{&Step, It->first};
+    logReservation(Step, Worker);
+  }
   return true;
 }
 
+// Logged once for as long as the worker is reserved for the same job.
+void Coordinator::Impl::logReservation(const StepEntry &Step,
+                                       WorkerEntry &Worker) const {
+  if (Worker.LastReservedFor_ == Step.Job_->Id_)
+    return;
+  Worker.LastReservedFor_ = Step.Job_->Id_;
+  base::Resources Free = Worker.Info_.Capacity_ - Worker.Reserved_;
+  base::logEvent(
+      base::LogLevel::Info, "worker-reserved",
+      {{"job", Step.Job_->Id_},
+       {"step", static_cast<int64_t>(Step.Number_)},
+       {"worker", Worker.Info_.Id_},
+       {"task_mcpu", Step.Spec_->Request_.MilliCpu_},
+       {"task_memory_mb", Step.Spec_->Request_.MemoryMb_},
+       {"lost_run", hasLostRun(Step)},
+       {"waited_ms", base::toMillis(longestWait(Step))},
+       {"free_mcpu", Free.MilliCpu_},
+       {"free_memory_mb", Free.MemoryMb_},
+       {"ready_in_ms", base::toMillis(Worker.Reservation_->ReadyAt_ - now())}});
+}
+
 } // namespace crocuslead::jobs
