Let the other instances send the coordinator's requests to workers

Cause: the coordinator's instance alone sends every start with the payload of its job, every poll and every commit. Its link carries them, the 17 others are idle. coordinator-traffic: 103 starts/s with 103 kB/s, 182 polls/s with 39 kB/s and 33 kB/s of commits sent, 30 of 30 starts in flight, the loop never late. Requests to workers go through the other instances, by failure domain; payloads of over 256 bytes are stored apart from the records of jobs and read by whoever sends the start.

--- a/bench/CoordinatorRig.cpp
+++ b/bench/CoordinatorRig.cpp
@@ -87,7 +87,7 @@
 
 void CoordinatorRig::submit(jobs::JobSpec Spec) {
   Coordinator_.addJob("job" + std::to_string(NextId_++),
-                      {"queue", std::move(Spec), Clock_.wallNow()},
+                      {"queue", std::move(Spec), Clock_.wallNow(), ""},
                       StoreRevision);
 }
 
--- a/src/jobs/CoordinatorHost.cpp
+++ b/src/jobs/CoordinatorHost.cpp
@@ -16,8 +16,8 @@
 // A commit confirms the term as well, so it is only read without commits.
 constexpr auto TermConfirmationInterval = std::chrono::milliseconds(500);
 constexpr auto ConfirmationRetryDelay = std::chrono::milliseconds(250);
-// A store transaction takes 32 entries; removing an expired job takes three.
-constexpr std::size_t JobsPerCleanup = 10;
+// A store transaction takes 32 entries; removing an expired job takes four.
+constexpr std::size_t JobsPerCleanup = 7;
 
 struct JobKey {
   std::string Id_;
@@ -399,6 +399,7 @@
     for (std::size_t I = From; I < To; ++I)
       Request.Deletes_.insert(Request.Deletes_.end(),
                               {{JobKeys::spec(Ids[I]), ""},
+                               {JobKeys::payload(Ids[I]), ""},
                                {JobKeys::cancel(Ids[I]), ""},
                                {JobKeys::progress(Ids[I]), ""}});
     Store_.txn(
--- a/src/jobs/JobKeys.h
+++ b/src/jobs/JobKeys.h
@@ -10,6 +10,9 @@
 //!   office/unused-terms
 //!   jobs/ID/spec, jobs/ID/cancel     written by the instance that answers the
 //!                                    caller
+//!   payloads/ID                      written together with a job's record;
+//!   read
+//!                                    by instances that start its tasks
 //!   state/progress/ID, state/workers written only by the coordinator
 //!   state/last-commit                its age, and what the records cover
 //!   state/handover                   the last record of a coordinator that
@@ -19,6 +22,7 @@
 struct JobKeys {
   static constexpr std::string_view ElectionPrefix = "crocuslead/office/";
   static constexpr std::string_view JobsPrefix = "crocuslead/jobs/";
+  static constexpr std::string_view PayloadsPrefix = "crocuslead/payloads/";
   static constexpr std::string_view StatePrefix = "crocuslead/state/";
 
   static std::string jobPrefix(const std::string &Id) {
@@ -27,6 +31,9 @@
   static std::string spec(const std::string &Id) {
     return jobPrefix(Id) + "spec";
   }
+  static std::string payload(const std::string &Id) {
+    return std::string(PayloadsPrefix) + Id;
+  }
   static std::string cancel(const std::string &Id) {
     return jobPrefix(Id) + "cancel";
   }
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -136,8 +136,14 @@
     Steps.push_back(stepToJson(Step));
   json Out = {{"queue", Record.Queue_},
               {"accepted", unixMillis(Record.AcceptedAt_)},
-              {"payload", Record.Spec_.Payload_},
               {"steps", std::move(Steps)}};
+  putNonZero(Out, "accepted_by", Record.AcceptedBy_);
+  // A version that can't read payloads apart then rejects the record, instead
+  // of starting tasks without their payload.
+  if (Record.PayloadApart_)
+    Out["payload_hash"] = Record.PayloadHash_;
+  else
+    Out["payload"] = Record.Spec_.Payload_;
   putNonZero(Out, "repetitions", Record.Spec_.Repetitions_);
   if (Record.Spec_.Repetitions_ > 0) {
     Out["first"] = unixMillis(Record.Spec_.FirstRun_);
@@ -151,7 +157,11 @@
     JobRecord Out;
     Out.Queue_ = In.at("queue").get<std::string>();
     Out.AcceptedAt_ = wallTime(In.at("accepted").get<int64_t>());
-    Out.Spec_.Payload_ = In.at("payload").get<std::string>();
+    Out.AcceptedBy_ = In.value("accepted_by", "");
+    Out.PayloadApart_ = In.contains("payload_hash");
+    Out.PayloadHash_ = In.value("payload_hash", uint64_t{0});
+    if (!Out.PayloadApart_)
+      Out.Spec_.Payload_ = In.at("payload").get<std::string>();
     for (const json &Step : In.at("steps"))
       Out.Spec_.Steps_.push_back(stepFromJson(Step));
     Out.Spec_.Repetitions_ = In.value("repetitions", uint32_t{0});
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -19,13 +19,38 @@
          State == JobState::Cancelled;
 }
 
+//! How accepted jobs are written. Both forms are read.
+enum class RecordFormat : uint8_t {
+  //! Each record contains its payload, as in all versions.
+  PayloadsInline,
+  //! Versions that know only the form above can't read such a record. When they
+  //! lead, they stop the job's tasks and discard their results.
+  PayloadsApart,
+};
+
+constexpr auto RecordFormatNames = base::makeNameTable<RecordFormat>(
+    {{RecordFormat::PayloadsInline, "payloads-inline"},
+     {RecordFormat::PayloadsApart, "payloads-apart"}});
+
 //! An accepted job as stored. Immutable once written.
 struct JobRecord {
   std::string Queue_;
   JobSpec Spec_;
   base::WallTime AcceptedAt_;
+  //! IP:port at which the instance that accepted the job listens for others;
+  //! empty in records of earlier versions.
+  std::string AcceptedBy_;
+  //! The payload is stored under a key of its own, and Spec_ has none.
+  bool PayloadApart_ = false;
+  //! Of a payload that is stored apart: an id may be used again once its job is
+  //! removed.
+  uint64_t PayloadHash_ = 0;
 };
 
+//! A payload of up to this many bytes is part of the job's record; the request
+//! for one that is stored apart takes as many.
+constexpr std::size_t MaxInlinePayload = 256;
+
 //! How strongly the loss of a worker speaks against a run on it.
 enum class CrashEvidence : uint8_t {
   //! Stands for the next run, which has not been lost. Stored before that run
--- a/src/jobs/JobService.cpp
+++ b/src/jobs/JobService.cpp
@@ -1,5 +1,6 @@
 #include "jobs/JobService.h"
 
+#include "base/Hash.h"
 #include "base/Log.h"
 #include "jobs/JobKeys.h"
 
@@ -35,6 +36,8 @@
 struct JobService::PendingWrite {
   std::string Id_;
   const char *Call_ = "";
+  //! Of a submitted job, if it is stored apart.
+  std::string Payload_;
   store::Txn Request_;
   base::TimePoint StartedAt_;
   base::TimePoint Deadline_;
@@ -46,9 +49,12 @@
 
 JobService::JobService(store::KeyValueStore &Store, http::RequestClient &Client,
                        const base::Clock &Clock, base::MetricsRegistry &Metrics,
-                       Election &LeaderElection, CoordinatorHost &Host)
+                       Election &LeaderElection, CoordinatorHost &Host,
+                       PayloadCache &Payloads, std::string Address,
+                       RecordFormat Format)
     : Store_(Store), Client_(Client), Clock_(Clock), Metrics_(Metrics),
-      Election_(LeaderElection), Host_(Host) {}
+      Election_(LeaderElection), Host_(Host), Payloads_(Payloads),
+      Address_(std::move(Address)), Format_(Format) {}
 
 JobService::~JobService() = default;
 
@@ -60,9 +66,17 @@
   Write->Call_ = "submit";
   Write->Request_.Compares_ = {
       {JobKeys::spec(Id), store::CompareTarget::ModRevision, 0}};
-  Write->Request_.Puts_ = {
-      {JobKeys::spec(Id),
-       encode(JobRecord{Queue, std::move(Spec), Clock_.wallNow()}), 0}};
+  JobRecord Record{Queue, std::move(Spec), Clock_.wallNow(), Address_};
+  std::string &Payload = Record.Spec_.Payload_;
+  if (Format_ == RecordFormat::PayloadsApart &&
+      Payload.size() > MaxInlinePayload) {
+    Record.PayloadApart_ = true;
+    Record.PayloadHash_ = base::stableHash(Payload);
+    Write->Payload_ = std::move(Payload);
+    Payload.clear();
+    Write->Request_.Puts_.push_back({JobKeys::payload(Id), Write->Payload_, 0});
+  }
+  Write->Request_.Puts_.push_back({JobKeys::spec(Id), encode(Record), 0});
   Write->StartedAt_ = now();
   Write->Deadline_ = Deadline;
   Write->Done_ = std::move(Done);
@@ -98,7 +112,11 @@
     const store::StoreResult<store::TxnReply> &Result) {
   const auto *Failure = std::get_if<store::StoreError>(&Result);
   std::optional<WriteOutcome> Outcome;
-  // If the condition of the transaction failed, the job is already stored.
+  // If the condition of the transaction failed, the job is already stored,
+  // possibly with another payload.
+  if (const auto *Reply = std::get_if<store::TxnReply>(&Result);
+      Reply != nullptr && Reply->Succeeded_ && !Write->Payload_.empty())
+    Payloads_.add(Write->Id_, Write->Payload_);
   if (Failure == nullptr)
     Outcome = WriteOutcome::Committed;
   else
--- a/src/jobs/JobService.h
+++ b/src/jobs/JobService.h
@@ -6,6 +6,7 @@
 #include "jobs/CoordinatorHost.h"
 #include "jobs/Election.h"
 #include "jobs/JobRecord.h"
+#include "jobs/PayloadCache.h"
 #include "store/KeyValueStore.h"
 
 #include <functional>
@@ -21,6 +22,7 @@
 //! coordinator does not answer.
 class JobService {
 public:
+  //! Address is that at which other instances reach this one.
   enum class WriteOutcome : uint8_t {
     //! Durable, written by this call or already present.
     Committed,
@@ -36,7 +38,8 @@
 
   JobService(store::KeyValueStore &Store, http::RequestClient &Client,
              const base::Clock &Clock, base::MetricsRegistry &Metrics,
-             Election &LeaderElection, CoordinatorHost &Host);
+             Election &LeaderElection, CoordinatorHost &Host,
+             PayloadCache &Payloads, std::string Address, RecordFormat Format);
   JobService(const JobService &) = delete;
   JobService &operator=(const JobService &) = delete;
   ~JobService();
@@ -73,6 +76,11 @@
   base::MetricsRegistry &Metrics_;
   Election &Election_;
   CoordinatorHost &Host_;
+  //! For the instances that start the tasks of jobs accepted here.
+  PayloadCache &Payloads_;
+  //! At which they ask for them.
+  std::string Address_;
+  RecordFormat Format_;
   std::shared_ptr<int> Alive_ = std::make_shared<int>(0);
   //! Writes that are due for another attempt, with its time.
   std::vector<std::pair<base::TimePoint, std::shared_ptr<PendingWrite>>>
--- a/src/jobs/WorkerPort.cpp
+++ b/src/jobs/WorkerPort.cpp
@@ -16,7 +16,8 @@
      {RequestStatus::WrongIncarnation, "wrong-incarnation"},
      {RequestStatus::Invalid, "invalid"},
      {RequestStatus::Unknown, "no-answer"},
-     {RequestStatus::NotSent, "not-sent"}});
+     {RequestStatus::NotSent, "not-sent"},
+     {RequestStatus::Withheld, "withheld"}});
 
 } // namespace
 
--- a/src/jobs/WorkerPort.h
+++ b/src/jobs/WorkerPort.h
@@ -19,6 +19,8 @@
 struct WorkerAddress {
   std::string Id_;
   std::string Address_;
+  //! Failure domain; empty if it is not known.
+  std::string Domain_;
 };
 
 //! Starts a run of a task.
@@ -26,11 +28,20 @@
   TaskId Task_;
   uint64_t Run_ = 0;
   std::string Payload_;
+  //! Payload_ is empty, and has to be read by whoever sends the request.
+  bool PayloadApart_ = false;
+  //! base::stableHash() of the payload that is read; 0 if it is not known.
+  uint64_t PayloadHash_ = 0;
+  //! IP:port of the instance that accepted the job and may have its payload;
+  //! empty if it is not known.
+  std::string PayloadSource_;
   //! Checkpoint to resume from; empty to start from the beginning.
   std::string Checkpoint_;
   //! End of the lease in milliseconds on the worker's own clock.
   int64_t LeaseUntilMs_ = 0;
   uint64_t FencingToken_ = 0;
+  //! When the sender waits for the payload, it sends nothing after this time.
+  base::TimePoint SendBefore_ = base::TimePoint::max();
 };
 
 struct StopRequest {
@@ -128,8 +139,10 @@
   Invalid,
   //! No answer: the request may have been executed, or may be executed later.
   Unknown,
-  //! No connection: nothing was sent.
+  //! No connection to the worker: nothing was sent.
   NotSent,
+  //! Nothing was sent, for a reason that says nothing about the worker.
+  Withheld,
 };
 
 //! Name of a status in logs.
@@ -139,6 +152,8 @@
   RequestStatus Status_ = RequestStatus::Unknown;
   //! The worker's clock; unset when the worker did not answer.
   std::optional<int64_t> ClockMs_;
+  //! For how long the instance that sent it waited for the payload.
+  base::Duration PayloadWait_{};
 };
 
 struct PollReply {
@@ -195,6 +210,8 @@
                         RequestCallback Done) = 0;
   virtual void poll(const WorkerAddress &To, const PollRequest &Request,
                     PollCallback Done) = 0;
+  //! The instance that sends the requests to a worker; empty if it is this one.
+  virtual std::string senderFor(const WorkerAddress & /*To*/) { return {}; }
 };
 
 } // namespace crocuslead::jobs
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -297,7 +297,7 @@
   void startProbation(WorkerEntry &Worker, const char *Event);
   bool isReachable(const WorkerEntry &Worker) const;
   WorkerAddress addressOf(const WorkerEntry &Worker) const {
-    return {Worker.Info_.Id_, Worker.Info_.Address_};
+    return {Worker.Info_.Id_, Worker.Info_.Address_, Worker.Info_.Domain_};
   }
 
   // Recovery.cpp: what a term learns of the terms before it.
--- a/src/jobs/internal/PlacementPass.cpp
+++ b/src/jobs/internal/PlacementPass.cpp
@@ -93,7 +93,7 @@
 bool Coordinator::Impl::tryToPlace(StepEntry &Step,
                                    internal::UnplaceableSteps &Unplaceable,
                                    int &PlacedSteps) {
-  if (isUnsatisfiable(Step))
+  if (isUnsatisfiable(Step) || now() < Step.WithheldUntil_)
     return true;
   // Steps that were kept from the workers reserved for this one are no sign.
   if (!isReserving(Step) && Unplaceable.covers(placementNeeds(Step))) {
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -12,6 +12,10 @@
 // A failed poll is repeated after this time per consecutive failure.
 constexpr auto PollRetryDelay = std::chrono::milliseconds(250);
 constexpr auto MaxPollRetryDelay = std::chrono::milliseconds(1000);
+// A poll that was not sent goes out again, on another path.
+constexpr auto WithheldPollDelay = std::chrono::milliseconds(50);
+// After this time it counts as unanswered.
+constexpr auto MaxWithheldTime = std::chrono::seconds(2);
 // A worker with unacknowledged results replies at once, so it is polled at this
 // interval until they are durable.
 constexpr auto UndurablePollDelay = std::chrono::milliseconds(200);
@@ -116,6 +120,12 @@
                    "another-life-answered");
     return;
   }
+  if (Reply.Status_ == RequestStatus::Withheld &&
+      now() - Worker.AnsweredPollSentAt_.value_or(base::TimePoint()) <
+          MaxWithheldTime) {
+    Worker.NextPollAt_ = now() + WithheldPollDelay;
+    return;
+  }
   if (Reply.Status_ != RequestStatus::Accepted) {
     onPollFailure(Worker, Reply.Status_);
     return;
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -10,6 +10,8 @@
 
 // A stop request that was not accepted is sent again after this time.
 constexpr auto StopResendInterval = std::chrono::milliseconds(300);
+// Tasks of a step whose start was not sent wait for this time.
+constexpr auto WithheldStartDelay = std::chrono::milliseconds(200);
 // A worker that refused a start gets a lower placement score for this time.
 constexpr auto RefusalAvoidance = std::chrono::milliseconds(700);
 
@@ -133,6 +135,10 @@
   Request.Task_ = {Step.Job_->Id_, Task.Position_};
   Request.Run_ = Run.Number_;
   Request.Payload_ = Step.Job_->Record_.Spec_.Payload_;
+  Request.PayloadApart_ = Step.Job_->Record_.PayloadApart_;
+  Request.PayloadHash_ = Step.Job_->Record_.PayloadHash_;
+  if (Request.PayloadApart_)
+    Request.PayloadSource_ = Step.Job_->Record_.AcceptedBy_;
   Request.Checkpoint_ = Task.Checkpoint_;
   Request.LeaseUntilMs_ = grantLease(Worker);
   Request.FencingToken_ = Settings_.Term_;
@@ -151,6 +157,7 @@
        {"failures", static_cast<int64_t>(Task.FailedRuns_.size())},
        {"resumed", !Task.Checkpoint_.empty()},
        {"term", Settings_.Term_},
+       {"sender", Port_.senderFor(addressOf(Worker))},
        {"restored", Step.Job_->Restored_},
        {"previous_run", Previous.Number_},
        {"previous_worker", Previous.Worker_},
@@ -173,7 +180,9 @@
     PlacementRequested_ = true;
   --StartsInFlight_;
   if (Reply.Status_ == RequestStatus::Unknown ||
-      Reply.Status_ == RequestStatus::NotSent)
+      Reply.Status_ == RequestStatus::NotSent ||
+      (Reply.Status_ == RequestStatus::Withheld &&
+       Reply.PayloadWait_.count() == 0))
     Congestion_.recordStartLoss(SentAt);
   RunEntry *Run = findRun(Serial);
   if (Run == nullptr || Superseded_)
@@ -184,7 +193,7 @@
     By = answererOf(Worker, *Reply.ClockMs_, SentAt);
     if (By == Answerer::Present)
       recordClock(Worker, *Reply.ClockMs_, SentAt);
-    base::Duration Time = now() - SentAt;
+    base::Duration Time = now() - SentAt - Reply.PayloadWait_;
     Worker.ShortestReply_ = std::min(Worker.ShortestReply_, Time);
     base::Duration QueueingDelay = Time - Worker.ShortestReply_;
     ++StartReplies_;
@@ -234,6 +243,10 @@
     endIncarnation(Worker, WorkerLoss::IncarnationEnded,
                    "another-life-answered");
     return;
+  case RequestStatus::Withheld:
+    Run->Step_->WithheldUntil_ = now() + WithheldStartDelay;
+    endRun(*Run, internal::TimeUse::Capacity, "start-withheld");
+    return;
   default:
     Worker.AvoidUntil_ = std::max(Worker.AvoidUntil_, now() + RefusalAvoidance);
     if (Reply.Status_ == RequestStatus::NotSent)
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -175,6 +175,8 @@
   //! No worker could run it, as of this version of the fleet.
   bool Unsatisfiable_ = false;
   uint64_t CheckedFleetVersion_ = 0;
+  //! A start of it could not be sent, so none is tried before then.
+  base::TimePoint WithheldUntil_;
   //! No worker could be reserved for it, so that is not tried before then.
   base::TimePoint NextReservationAt_;
   //! When a continuing wait of its tasks is logged next.
--- a/tests/jobs/JobService.tests.cpp
+++ b/tests/jobs/JobService.tests.cpp
@@ -53,8 +53,10 @@
                      World_.Random_,
                      {"a", "a-1", "a:1", std::string(JobKeys::ElectionPrefix)},
                      {[](uint64_t) {}, [](const char *) {}}};
+  PayloadCache Payloads_{1U << 20U};
   JobService Service_{Store_,          *Client_,  World_.Clock_,
-                      World_.Metrics_, Election_, Host_};
+                      World_.Metrics_, Election_, Host_,
+                      Payloads_,       "a:1",     RecordFormat::PayloadsApart};
 
   void run(base::Duration Time) {
     for (base::TimePoint End = World_.now() + Time; World_.now() < End;) {
--- a/tests/jobs/JobWorld.cpp
+++ b/tests/jobs/JobWorld.cpp
@@ -156,7 +156,12 @@
 
 void JobWorld::submit(const std::string &Id, JobSpec Spec,
                       const std::string &Queue) {
-  JobRecord Record{Queue, std::move(Spec), Clock_.wallNow()};
+  JobRecord Record{Queue, std::move(Spec), Clock_.wallNow(), AcceptedBy_};
+  Payloads_[Id] = Record.Spec_.Payload_;
+  if (!AcceptedBy_.empty() && Payloads_[Id].size() > MaxInlinePayload) {
+    Record.PayloadApart_ = true;
+    Record.Spec_.Payload_.clear();
+  }
   Jobs_[Id] = Record;
   JobRevisions_[Id] = ++Revision_;
   if (Coordinator_)
@@ -180,10 +185,6 @@
   return Cut_ && Term <= Cut_->first;
 }
 
-bool JobWorld::isCut(uint64_t Term, const std::string &Worker) const {
-  return Cut_ && isCutOff(Term) != (Cut_->second.count(Worker) > 0);
-}
-
 Coordinator *JobWorld::coordinatorOf(uint64_t Term) const {
   if (Term == Term_)
     return Coordinator_.get();
@@ -221,7 +222,7 @@
   ++Revision_;
   Settings.Times_ = Times_;
   Coordinator_ = std::make_unique<Coordinator>(
-      Settings, *this, Clock_, Metrics_,
+      Settings, PortOf_ ? PortOf_(Term_) : *this, Clock_, Metrics_,
       [this, Term = Term_](const CommitBatch &Batch) {
         schedule(OneWayDelay * 2, [this, Term, Batch, SentAt = now()] {
           commit(Term, Batch, SentAt);
@@ -286,6 +287,8 @@
     }
     advanceWorkers();
     tickCoordinators();
+    if (OnStep_)
+      OnStep_();
     Clock_.advance(StepTime);
   }
 }
--- a/tests/jobs/JobWorld.h
+++ b/tests/jobs/JobWorld.h
@@ -77,6 +77,13 @@
   std::optional<base::TimePoint> AnsweredAt_;
 };
 
+//! Who sent a request to a worker.
+struct RequestOrigin {
+  uint64_t Term_ = 0;
+  //! The instance that sent it; empty if that is the coordinator itself.
+  std::string Instance_;
+};
+
 //! Test oracle: checks the rules of the fleet as callers and workers observe
 //! them, and records violations as text.
 struct FleetOracle {
@@ -146,6 +153,10 @@
   void endCut();
   void run(base::Duration Time);
   void publishWorkers();
+  void schedule(base::Duration Delay, std::function<void()> Action);
+  //! Time that a message sent now spends in the queue of the sender's link.
+  base::Duration queueOnLink(const std::string &Instance, double Requests = 1);
+  void recordViolation(const std::string &Text);
 
   void start(const WorkerAddress &To, const StartRequest &Request,
              RequestCallback Done) override;
@@ -193,9 +204,23 @@
   double DelayedStartShare_ = 0;
   //! The same share for all kinds of requests.
   double DelayedRequestShare_ = 0;
-  //! Requests that the link to the workers carries per second; the others
-  //! queue up on it. 0 for no limit.
+  //! Requests that the link of a sender carries per second; the others queue up
+  //! on it. 0 for no limit.
   int LinkRequestsPerSecond_ = 0;
+  //! Instance that sends the present request; see RequestOrigin.
+  std::string SendingInstance_;
+  //! If set, tells whether a request of an instance does not reach a worker.
+  std::function<bool(const std::string &Instance, const std::string &Worker)>
+      IsPathCut_;
+  //! If set, the port of the coordinator of a term; otherwise it is this one.
+  std::function<WorkerPort &(uint64_t Term)> PortOf_;
+  //! If set, invoked in each step.
+  std::function<void()> OnStep_;
+  //! Instance that accepts the jobs submitted from now on. Large payloads of
+  //! such jobs are stored apart.
+  std::string AcceptedBy_;
+  //! By job, as they were submitted.
+  std::map<std::string, std::string> Payloads_;
   //! Requests that were given up before the link delivered them.
   int LateDeliveries_ = 0;
   //! Start requests that are sent twice by their connection; the caller gets
@@ -233,15 +258,15 @@
   static constexpr base::Duration ConfirmationInterval =
       std::chrono::milliseconds(500);
 
-  void schedule(base::Duration Delay, std::function<void()> Action);
   //! The coordinator of a term, null if it has ended.
   Coordinator *coordinatorOf(uint64_t Term) const;
   void commit(uint64_t Term, const CommitBatch &Batch, base::TimePoint SentAt);
   void tickCoordinators();
   void confirmTerms();
   bool isCutOff(uint64_t Term) const;
-  //! Whether requests of a term don't reach a worker.
-  bool isCut(uint64_t Term, const std::string &Worker) const;
+  //! Whether requests of a sender don't reach a worker.
+  bool isCut(const RequestOrigin &From, const std::string &Worker) const;
+  RequestOrigin origin(uint64_t Term) const { return {Term, SendingInstance_}; }
   void advanceWorkers();
   //! Answers polls whose wait is over, or all of them.
   void answerPolls(FakeWorker &Worker, bool All);
@@ -254,29 +279,27 @@
                             WorkerReport &Report);
   void acknowledge(FakeWorker &Worker, uint64_t Sequence);
   //! Executes a request after its caller has given it up.
-  void deliverLate(const std::string &Id, uint64_t Term, base::Duration Delay,
-                   RequestCallback Done,
+  void deliverLate(const std::string &Id, const RequestOrigin &From,
+                   base::Duration Delay, RequestCallback Done,
                    std::function<RequestStatus(FakeWorker &)> Action);
   base::Duration randomLateness();
   int64_t workerClockMs(const FakeWorker &Worker) const;
   int percent(const FakeRun &Run) const;
-  void deliver(const std::string &Id, uint64_t Term, RequestCallback Done,
+  void deliver(const std::string &Id, const RequestOrigin &From,
+               RequestCallback Done,
                std::function<RequestStatus(FakeWorker &)> Action);
-  void recordViolation(const std::string &Text);
   //! Executes a request and answers it, unless the caller has given it up.
   void execute(const std::string &Id,
                const std::function<RequestStatus(FakeWorker &)> &Action,
                bool ReplyLost, const RequestCallback &Done);
 
-  //! Time that a request sent now spends in the queue of the link.
-  base::Duration queueOnLink();
-
   std::multimap<base::TimePoint, std::function<void()>> Events_;
   //! The latest term on the far side of the cut, with the workers there; unset
   //! without a cut.
   std::optional<std::pair<uint64_t, std::set<std::string>>> Cut_;
   base::TimePoint NextConfirmation_;
-  base::TimePoint LinkFreeAt_;
+  //! By instance.
+  std::map<std::string, base::TimePoint> LinkFreeAt_;
 };
 
 //! A job of consecutive steps with Count tasks each.
--- a/tests/jobs/JobWorldCalls.cpp
+++ b/tests/jobs/JobWorldCalls.cpp
@@ -44,6 +44,11 @@
   Worker.HighestRun_[Name] = Request.Run_;
   const StepSpec &Spec = Jobs_.at(Request.Task_.Job_)
                              .Spec_.Steps_.at(Request.Task_.Position_.Step_);
+  auto Submitted = Payloads_.find(Request.Task_.Job_);
+  if (Request.Payload_ != (Submitted == Payloads_.end()
+                               ? Jobs_.at(Request.Task_.Job_).Spec_.Payload_
+                               : Submitted->second))
+    recordViolation(Name + " starts with another payload");
   ++Oracle_.Starts_[Name];
   Oracle_.LastStarts_[Name] = now();
   if (!Spec.Speculative_ && !Oracle_.RunningOn_[Name].empty())
@@ -115,23 +120,33 @@
   return std::chrono::milliseconds(2'000 + Random_.below(MaxExtraDelayMs));
 }
 
-base::Duration JobWorld::queueOnLink() {
+base::Duration JobWorld::queueOnLink(const std::string &Instance,
+                                     double Requests) {
   if (LinkRequestsPerSecond_ == 0)
     return {};
-  LinkFreeAt_ =
-      std::max(LinkFreeAt_, now()) +
-      base::Duration(std::chrono::seconds(1)) / LinkRequestsPerSecond_;
-  return LinkFreeAt_ - now();
+  base::TimePoint &FreeAt = LinkFreeAt_[Instance];
+  FreeAt =
+      std::max(FreeAt, now()) +
+      std::chrono::duration_cast<base::Duration>(
+          std::chrono::duration<double>(Requests / LinkRequestsPerSecond_));
+  return FreeAt - now();
 }
 
-void JobWorld::deliverLate(const std::string &Id, uint64_t Term,
+bool JobWorld::isCut(const RequestOrigin &From,
+                     const std::string &Worker) const {
+  if (IsPathCut_ && !From.Instance_.empty())
+    return IsPathCut_(From.Instance_, Worker);
+  return Cut_ && isCutOff(From.Term_) != (Cut_->second.count(Worker) > 0);
+}
+
+void JobWorld::deliverLate(const std::string &Id, const RequestOrigin &From,
                            base::Duration Delay, RequestCallback Done,
                            std::function<RequestStatus(FakeWorker &)> Action) {
   ++LateDeliveries_;
   base::TimePoint StartedAt = Workers_.at(Id).StartedAt_;
-  schedule(Delay, [this, Id, Term, StartedAt, Action = std::move(Action)] {
+  schedule(Delay, [this, Id, From, StartedAt, Action = std::move(Action)] {
     FakeWorker &Worker = Workers_.at(Id);
-    if (!Worker.DropsRequests_ && !isCut(Term, Id) &&
+    if (!Worker.DropsRequests_ && !isCut(From, Id) &&
         Worker.StartedAt_ == StartedAt)
       Action(Worker);
   });
@@ -140,16 +155,16 @@
   });
 }
 
-void JobWorld::deliver(const std::string &Id, uint64_t Term,
+void JobWorld::deliver(const std::string &Id, const RequestOrigin &From,
                        RequestCallback Done,
                        std::function<RequestStatus(FakeWorker &)> Action) {
-  base::Duration Queued = queueOnLink();
+  base::Duration Queued = queueOnLink(From.Instance_);
   if (Queued > CallTimeout) {
-    deliverLate(Id, Term, Queued, std::move(Done), std::move(Action));
+    deliverLate(Id, From, Queued, std::move(Done), std::move(Action));
     return;
   }
   if (DelayedRequestShare_ > 0 && Random_.unit() < DelayedRequestShare_) {
-    deliverLate(Id, Term, randomLateness(), std::move(Done), std::move(Action));
+    deliverLate(Id, From, randomLateness(), std::move(Done), std::move(Action));
     return;
   }
   bool Lost = Random_.unit() < LostReplyShare_;
@@ -158,7 +173,7 @@
   schedule(OneWayDelay + Queued, [=] {
     FakeWorker &Worker = Workers_.at(Id);
     bool Reached =
-        !Worker.DropsRequests_ && !isCut(Term, Id) &&
+        !Worker.DropsRequests_ && !isCut(From, Id) &&
         (RequestsReachNextIncarnation_ || Worker.StartedAt_ == StartedAt);
     auto Ended = std::make_shared<bool>(false);
     RequestCallback DoneOnce = [Done, Ended](const RequestReply &Reply) {
@@ -202,29 +217,28 @@
 void JobWorld::start(const WorkerAddress &To, const StartRequest &Request,
                      RequestCallback Done) {
   std::string Id = To.Id_;
+  RequestOrigin From = origin(Request.FencingToken_);
   Done = noteStart(Id, Request, std::move(Done));
   auto Execute = [this, Request](FakeWorker &Worker) {
     return executeStart(Worker, Request);
   };
   if (Random_.unit() < DelayedStartShare_) {
-    deliverLate(Id, Request.FencingToken_, randomLateness(), std::move(Done),
-                Execute);
+    deliverLate(Id, From, randomLateness(), std::move(Done), Execute);
   } else if (RepeatedStartDelay_.count() > 0) {
-    uint64_t Term = Request.FencingToken_;
     deliver(
-        Id, Term, [](const RequestReply &) {}, Execute);
+        Id, From, [](const RequestReply &) {}, Execute);
     schedule(RepeatedStartDelay_,
-             [this, Id, Term, Done = std::move(Done), Execute] {
-               deliver(Id, Term, Done, Execute);
+             [this, Id, From, Done = std::move(Done), Execute] {
+               deliver(Id, From, Done, Execute);
              });
   } else {
-    deliver(Id, Request.FencingToken_, std::move(Done), Execute);
+    deliver(Id, From, std::move(Done), Execute);
   }
 }
 
 void JobWorld::stop(const WorkerAddress &To, const StopRequest &Request,
                     RequestCallback Done) {
-  deliver(To.Id_, Request.FencingToken_, std::move(Done),
+  deliver(To.Id_, origin(Request.FencingToken_), std::move(Done),
           [this, Request](FakeWorker &Worker) {
             if (Request.FencingToken_ < Worker.FencingToken_)
               return RequestStatus::Fenced;
@@ -242,7 +256,7 @@
 
 void JobWorld::throttle(const WorkerAddress &To, const ThrottleRequest &Request,
                         RequestCallback Done) {
-  deliver(To.Id_, Request.FencingToken_, std::move(Done),
+  deliver(To.Id_, origin(Request.FencingToken_), std::move(Done),
           [Request](FakeWorker &Worker) {
             auto It = Worker.Runs_.find(taskName(Request.Task_));
             if (It != Worker.Runs_.end())
@@ -257,6 +271,7 @@
                     PollCallback Done) {
   auto Report = std::make_shared<WorkerReport>();
   std::string Id = To.Id_;
+  RequestOrigin From = origin(Request.FencingToken_);
   base::TimePoint StartedAt = Workers_.at(Id).StartedAt_;
   auto Answer = [=] {
     // The connection ended with the incarnation that the poll waited at.
@@ -266,7 +281,7 @@
       return;
     }
     deliver(
-        Id, Request.FencingToken_,
+        Id, From,
         [Done, Report](const RequestReply &Reply) {
           Done({Reply.Status_, *Report});
         },
@@ -283,9 +298,9 @@
   if (!Request.LeaseUntilMs_)
     return;
   // The lease is renewed when the poll arrives, not when it is answered.
-  schedule(OneWayDelay, [this, Id, Request, StartedAt] {
+  schedule(OneWayDelay, [this, Id, From, Request, StartedAt] {
     FakeWorker &Worker = Workers_.at(Id);
-    if (!Worker.DropsRequests_ && !isCut(Request.FencingToken_, Id) &&
+    if (!Worker.DropsRequests_ && !isCut(From, Id) &&
         Worker.StartedAt_ == StartedAt &&
         Request.FencingToken_ >= Worker.FencingToken_)
       renewLease(Worker, *Request.LeaseUntilMs_);
--- a/tests/platform/Documents.tests.cpp
+++ b/tests/platform/Documents.tests.cpp
@@ -36,6 +36,17 @@
 
 } // namespace
 
+TEST_CASE("Other instances are told the address of a proxy if one is set") {
+  auto Own = parseSettings(BaseSettings);
+  auto Proxied = parseSettings(BaseSettings + "peer_address=127.0.0.9:80\n");
+  REQUIRE(Own);
+  REQUIRE(Proxied);
+  CHECK(Own->PeerAddress_ == Own->Peers_.text());
+  CHECK(Proxied->PeerAddress_ == "127.0.0.9:80");
+  CHECK(Proxied->Peers_.text() == Own->Peers_.text());
+  CHECK_FALSE(parseSettings(BaseSettings + "peer_address=nowhere\n"));
+}
+
 TEST_CASE("Settings are read and unknown ones skipped") {
   auto Read = parseSettings(BaseSettings);
   REQUIRE(Read);
--- a/tests/platform/FrontApi.tests.cpp
+++ b/tests/platform/FrontApi.tests.cpp
@@ -89,8 +89,11 @@
       Random_,
       {"a", "a-1", "a:1", std::string(jobs::JobKeys::ElectionPrefix)},
       {[](uint64_t) {}, [](const char *) {}}};
-  jobs::JobService Service_{Store_,   *Client_,  Clock_,
-                            Metrics_, Election_, Host_};
+  jobs::PayloadCache Payloads_{1U << 20U};
+  jobs::JobService Service_{
+      Store_,    *Client_,  Clock_,
+      Metrics_,  Election_, Host_,
+      Payloads_, "a:1",     jobs::RecordFormat::PayloadsApart};
   FrontApi Front_{Service_, Registry_, Clock_, Metrics_, MaxConfigAge};
   base::TimePoint NextConfirm_;
 };
--- a/tests/platform/WorkerCalls.tests.cpp
+++ b/tests/platform/WorkerCalls.tests.cpp
@@ -24,7 +24,7 @@
   std::string Address = Url.substr(std::string("http://").size());
   Address = Address.substr(0, Address.find('/'));
   std::optional<jobs::RequestStatus> Got;
-  Port->start({"w", Address}, {},
+  Port->start({"w", Address, ""}, {},
               [&](const jobs::RequestReply &Reply) { Got = Reply.Status_; });
   runUntil(Loop, [&] { return Got.has_value(); });
   return *Got;
