Cut, delay and reset the traffic between entries in the soaks

Cause: with relays the sender of a start is another entry, and scripts/terms took the sender's domain from the fencing token; traffic between entries was never cut. Change: entries reach each other through proxies (setting peer_address); workers tell the carrying entry by the process that owns the connection. New faults: pauses and kills of relays, cut paths, delays and resets. No check is weaker. Entries of the soaks store payloads apart.

--- a/scripts/lib/domains.py
+++ b/scripts/lib/domains.py
@@ -1,17 +1,20 @@
 """Entries, store and workers in failure domains, for terms.py.
 
 A run of terms.py gives the cuts (passes), the instance of each term (terms) and the entry that sent a request
-(sender), which a worker tells by the fencing token.
+(sender), which a worker tells by the fencing token. Another entry may carry the request: the one whose process has
+the other end of the connection (carrier).
 """
 
 import asyncio
 import json
 import math
+import os
 import socket
+import struct
 import time
 
 import soak
-from platform_standin import Drop, Store, Worker, make_random, serve
+from platform_standin import CONTEXT, LATE_SECONDS, Drop, Store, Worker, make_random, serve
 
 DOMAINS = ("d0", "d1", "d2")
 STORE_DOMAIN = DOMAINS[0]
@@ -36,6 +39,27 @@
                 each.close()
 
 
+def socket_owner(peer, own, processes):
+    """Gives the one of these process IDs that has the socket at peer connected to own; None if there is none."""
+
+    def kernel_form(ip, port):
+        return f"{struct.unpack('=I', socket.inet_aton(ip))[0]:08X}:{port:04X}"
+
+    ends, inode = [kernel_form(*peer), kernel_form(*own)], None
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for row in map(str.split, table):
+            if row[1:3] == ends:
+                inode = row[9]
+    for process in processes if inode else ():
+        try:
+            for name in os.listdir(f"/proc/{process}/fd"):
+                if os.readlink(f"/proc/{process}/fd/{name}") == f"socket:[{inode}]":
+                    return process
+        except OSError:
+            continue
+    return None
+
+
 async def hang():
     await asyncio.sleep(HANG_SECONDS)
     raise Drop
@@ -49,15 +73,57 @@
         self.path, self.process = f"{folder}/{name}.conf", None
         self.log = open(f"{folder}/{name}.log", "ab")
         self.cuts, self.lose = 0, 0.0
+        self.peer_delay, self.peer_writers = 0.0, set()
         self.watches = None  # while only watches pass: (prefix, whether new ones do)
         self.answered_at = -math.inf
 
+    async def open_peer_proxy(self):
+        """Other entries reach this one through a proxy, which applies the cuts and delays between them."""
+        server = await asyncio.start_server(self.accept_peer, self.ip, 0)
+        self.peer_port = server.sockets[0].getsockname()[1]
+
+    async def accept_peer(self, reader, writer):
+        source = self.run.owner(writer.get_extra_info("peername"), writer.get_extra_info("sockname"))
+        try:
+            up_reader, up_writer = await asyncio.open_connection(self.ip, PORTS[2])
+        except OSError:
+            writer.transport.abort()
+            return
+        self.peer_writers |= {writer, up_writer}
+        await asyncio.gather(self.pump(reader, up_writer, source, self), self.pump(up_reader, writer, self, source))
+        self.peer_writers -= {writer, up_writer}
+
+    async def pump(self, reader, writer, source, target):
+        """Passes bytes on. Those that are sent in a cut are lost or come late, and the connection stays silent."""
+        silent = False
+        try:
+            while data := await reader.read(65536):
+                if self.peer_delay:
+                    await asyncio.sleep(self.run.rng.uniform(0, self.peer_delay))
+                if source and target and not self.run.passes_peers(source, target) and not silent:
+                    silent = True
+                    if self.run.rng.random() < HELD_UP_SHARE:
+                        await asyncio.sleep(self.run.rng.uniform(*LATE_SECONDS))
+                        writer.write(data)
+                if not silent:
+                    writer.write(data)
+                    await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def reset_peers(self):
+        for writer in list(self.peer_writers):
+            writer.transport.abort()
+
     def write(self, port, max_hold_ms):
         zones = "".join(f"zones.{d}=r1\n" for d in DOMAINS)
         with open(self.path, "w", encoding="ascii") as out:
             out.write(f"node={self.name}\nrole=entry\nip={self.ip}\nzone={self.domain}\nregion=r1\n{zones}"
                       f"listen_addresses.front={self.ip}:7100\nlisten_addresses.ready={self.ip}:7101\n"
-                      f"internal_port_range=7720,7735\nplatform.address=127.0.0.1:{port}\nplatform.form=kv\n"
+                      f"internal_port_range=7720,7735\npeer_address={self.ip}:{self.peer_port}\n"
+                      f"platform.address=127.0.0.1:{port}\nplatform.form=kv\n"
                       "platform.writes_per_s=400\nplatform.reads_per_s=2000\nplatform.history_s=20\n"
                       "heartbeat_interval_ms=1100\norders=call\ndiscovery=platform\nlimits.cpu_share=0.25\n"
                       f"bounds.max_hold_ms={max_hold_ms}\nbounds.stop_timeout_ms=400\nbounds.status_s=120\n"
@@ -186,6 +252,7 @@
             raise Drop
         data = json.loads(body)
         sender = self.run.sender(data)
+        carrier = self.run.carrier(headers[CONTEXT]) or sender
         call = path.rsplit("/", 1)[1].replace("-", "_")
         if self.cut:
             await hang()
@@ -194,14 +261,15 @@
             self.run.carried_starts += call == "run_start"
         await self.up.wait()
         born = self.born
-        if sender and not self.run.passes(sender.domain, self.zone, "worker"):
+        if carrier and not self.run.passes(carrier.domain, self.zone, "worker"):
             if call != "hold" and self.rng.random() < HELD_UP_SHARE:
                 asyncio.get_running_loop().create_task(self.late(call, data, born))
             await hang()
         if sender:
             self.heard[sender.name] = time.monotonic()
         answer = await super().handle(method, path, query, headers, body)
-        lost = sender and not self.run.passes(self.zone, sender.domain, "worker")
+        self.run.relayed_starts += call == "run_start" and carrier is not sender
+        lost = carrier and not self.run.passes(self.zone, carrier.domain, "worker")
         if lost or self.cut or self.loses_answers or born != self.born:
             await hang()
         if call == "hold" and answer[0] == 200 and sender:
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -21,20 +21,26 @@
     """The connection ends without an answer."""
 
 
+CONTEXT = ":context"  # no header has this name
+
+
 async def serve(handler, host="127.0.0.1", port=0, writers=None):
     """Answers each request with handler(method, path, query, headers, body) -> (status, object).
 
-    The set writers, if given, holds the open connections.
+    The set writers, if given, holds the open connections. headers[CONTEXT] is a dictionary for each connection,
+    with the addresses of both ends.
     """
     writers = set() if writers is None else writers
 
     async def connection(reader, writer):
         writers.add(writer)
+        context = {"peer": writer.get_extra_info("peername"), "own": writer.get_extra_info("sockname")}
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 method, target, _ = head[0].split(" ", 2)
                 headers = {k.lower(): v.strip() for k, v in (x.split(":", 1) for x in head[1:] if ":" in x)}
+                headers[CONTEXT] = context
                 size = int(headers.get("content-length", 0))
                 body = await reader.readexactly(size) if 0 < size <= MAX_BODY else b""
                 parts = urlsplit(target)
@@ -351,8 +357,8 @@
 class Relay:
     """A loopback proxy whose traffic can be delayed, silenced, cut one way or reset."""
 
-    def __init__(self, port):
-        self.target, self.fault, self.writers = port, None, set()
+    def __init__(self, port, host="127.0.0.1"):
+        self.target, self.fault, self.writers = (host, port), None, set()
 
     async def open(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
@@ -364,7 +370,7 @@
             writer.transport.abort()
             return
         try:
-            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
         except OSError:
             writer.transport.abort()
             return
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -19,25 +19,33 @@
 HEARTBEAT = 0.5
 SETTLE_SECONDS = 25
 ATTEMPTS = 6
+PEER_PORT = 7720
 
 
 class Instance:
-    """One entry instance with its own way to the store."""
+    """One entry instance with its own way to the store and from the other instances."""
 
-    def __init__(self, number, relay, folder):
-        self.ip, self.relay, self.log = f"127.0.0.{10 + number}", relay, open(f"{folder}/entry-{number}.log", "ab")
+    def __init__(self, number, relay, peers, folder):
+        self.ip, self.relay, self.peers = self.address(number), relay, peers
+        self.log = open(f"{folder}/entry-{number}.log", "ab")
         self.path, self.process, self.stopped = f"{folder}/entry-{number}.conf", None, False
         with open(self.path, "w", encoding="ascii") as out:
             out.write(f"node=entry-{number}\nip={self.ip}\nzone=z1\nregion=r1\n"
                       f"listen_addresses.front={self.ip}:7100\nlisten_addresses.ready={self.ip}:7101\n"
-                      f"internal_port_range=7720,7735\nplatform.address=127.0.0.1:{relay.port}\n"
+                      f"internal_port_range={PEER_PORT},7735\npeer_address=127.0.0.1:{peers.port}\n"
+                      f"platform.address=127.0.0.1:{relay.port}\n"
                       "limits.cpu_share=0.25\nbounds.max_hold_ms=6000\nbounds.stop_timeout_ms=400\n"
                       "bounds.status_s=120\nbounds.harm_ms=4000\nbounds.grace_period_s=6\n"
                       "bounds.config_apply_ms=3000\n")
 
+    @staticmethod
+    def address(number):
+        return f"127.0.0.{10 + number}"
+
     def start(self):
         self.process = subprocess.Popen([BINARY, "entry"], stdout=self.log, stderr=self.log,
-                                        env={"CROCUSLEAD_BOOT": self.path, "PATH": "/usr/bin"})
+                                        env={"CROCUSLEAD_BOOT": self.path, "PATH": "/usr/bin",
+                                             "CROCUSLEAD_RECORD_FORMAT": "payloads-apart"})
 
     def alive(self):
         return self.process is not None and self.process.poll() is None
@@ -95,7 +103,8 @@
             self.workers.append(worker)
         self.instances = []
         for i in range(self.args.instances):
-            self.instances.append(Instance(i, await Relay(port).open(), self.folder))
+            peers = await Relay(PEER_PORT, Instance.address(i)).open()
+            self.instances.append(Instance(i, await Relay(port).open(), peers, self.folder))
             self.instances[-1].start()
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(x) for x in [self.store.expire(), self.heartbeats()] +
@@ -158,7 +167,7 @@
     async def fault(self):
         """Injects faults that overlap, each undone after a while."""
         kinds = [self.kill, self.pause, self.terminate, self.store_fault, self.store_cut, self.worker_cut,
-                 self.rebirth, self.slow_worker, self.revoke, self.kill_all]
+                 self.peer_cut, self.rebirth, self.slow_worker, self.revoke, self.kill_all]
         while time.monotonic() < self.end:
             await asyncio.sleep(self.rng.uniform(0.3, 2.0))
             asyncio.get_running_loop().create_task(self.rng.choice(kinds)())
@@ -216,6 +225,10 @@
         worker = self.rng.choice(self.workers)
         await self.cut(worker.relay, f"worker {worker.name}")
 
+    async def peer_cut(self):
+        instance = self.rng.choice(self.instances)
+        await self.cut(instance.peers, f"path of the others to {instance.ip}")
+
     async def cut(self, relay, name):
         relay.fault = self.rng.choice(["delay", "silent", "there", "back", "reset"])
         self.note(f"{name} {relay.fault}")
--- a/scripts/lib/terms.py
+++ b/scripts/lib/terms.py
@@ -2,8 +2,10 @@
 
 Real entry instances and stand-in workers in three failure domains; the store is in the first one. Jobs that
 last and finite ones are submitted, cancelled and read through any entry while domains, store paths and workers
-fail, overlapping and in series. Workers and the store tell the domain of a request's sender by its fencing
-token, by the leader keys that the store has seen. The workers' view decides what ran, not the entries' logs.
+fail, overlapping and in series. Entries reach each other through proxies; what one sends to another, and the
+requests to workers that one carries for another, are cut with its domain as well. Workers tell the entry that carries
+a request by the process at the other end of the connection, and the one that decided on it by its fencing token and
+the leader keys that the store has seen. The workers' view decides what ran, not the entries' logs.
 
 Beside the faults there is planned work: entries are stopped, alone or all in a series, and workers are replaced,
 one or several overlapping: the new one registers, the old one drains, serves on for some seconds and leaves.
@@ -11,7 +13,7 @@
 lasting task of an accepted job that nobody cancelled ran before and then has no run for over 8 s, although two
 workers have room for it all the while.
 
-Not covered: traffic between entries is never cut, no clock jumps, and LOST says nothing about finite jobs.
+Not covered: no clock jumps, and LOST says nothing about finite jobs.
 
 Usage: terms.py [--seed N] [--seeds N] [--seconds S] [--binary PATH] [--max-hold-ms MS] [--quiet-faults KIND,..]
        [--only-faults KIND,..]
@@ -37,7 +39,7 @@
 import traceback
 
 import soak
-from domains import DOMAINS, STORE_DOMAIN, DomainWorker, Entry, TermStore, free_address
+from domains import DOMAINS, STORE_DOMAIN, DomainWorker, Entry, TermStore, free_address, socket_owner
 from platform_standin import LATE_SECONDS, make_random, serve
 from runs import Runs, report
 
@@ -53,7 +55,7 @@
 RECUT_SECONDS = (5, 9)
 # What ends a term while its coordinator goes on is drawn more often than the other kinds.
 SHARES = {"coordinator-domain": 5, "domain": 2, "coordinator-store": 2, "one-way": 2, "watches-only": 2,
-          "replace-worker": 2, "roll": 2}
+          "replace-worker": 2, "roll": 2, "pause-relay": 2, "peer-path": 2}
 PLANNED = ("replace-worker", "roll", "terminate")
 # Calm begins this long after the last fault, whose late requests arrive first.
 CALM_SECONDS = 5 + LATE_SECONDS[1]
@@ -74,6 +76,7 @@
         self.rolling, self.left_in_roll, self.unplanned, self.calm_from = False, 0, 0, 0.0
         # Requests, and those of them that start a run, that were meant for an earlier life of their worker.
         self.carried_over, self.carried_starts = 0, 0
+        self.relayed_starts = 0
 
     def note(self, text):
         print(f"{time.monotonic() - self.began:8.3f} {text}", file=self.events, flush=True)
@@ -81,6 +84,19 @@
     def passes(self, source, target, what):
         return self.lost[source, target, what] == 0
 
+    def passes_peers(self, source, target):
+        return self.passes(source.domain, target.domain, "peer") and self.passes(source.name, target.name, "peer")
+
+    def owner(self, peer, own):
+        """The entry whose process has the connection from peer to own; None if it has ended."""
+        processes = {e.process.pid: e for e in self.entries.values() if e.alive()}
+        return processes.get(socket_owner(peer, own, processes))
+
+    def carrier(self, context):
+        if "carrier" not in context:
+            context["carrier"] = self.owner(context["peer"], context["own"])
+        return context["carrier"]
+
     def sender(self, data):
         return self.entries.get(self.terms.get(data.get("fencing_token", 0), (None,))[0])
 
@@ -103,6 +119,7 @@
             for i in range(ENTRIES):
                 entry = Entry(f"entry-{domain}-{i}", domain, self.folder, self)
                 self.entries[entry.name] = entry
+                await entry.open_peer_proxy()
                 entry.write((await serve(entry.store_call))[1], self.args.max_hold_ms)
         for entry in self.entries.values():
             entry.start()
@@ -210,7 +227,9 @@
                  "store-down": self.store_down, "store-loses-answers": self.store_loses_answers,
                  "leader-key": self.leader_key, "compact": self.compact, "worker-answers": self.worker_answers,
                  "late-orders": self.late_orders, "rebirth": self.rebirth, "restart-and-cut": self.restart_and_cut,
-                 "pause": self.pause, "kill": self.kill,
+                 "pause": self.pause, "kill": self.kill, "pause-relay": self.pause_relay,
+                 "kill-relay": self.kill_relay, "peer-path": self.peer_path, "peer-delay": self.peer_delay,
+                 "peer-reset": self.peer_reset,
                  "terminate": self.terminate, "replace-worker": self.replace_worker, "roll": self.roll}
         names = [name for name in kinds if name not in self.quiet and (name in PLANNED) == planned
                  and (not self.only or name in self.only)
@@ -244,7 +263,7 @@
 
     async def domain(self, domain=None):
         domain = domain or self.rng.choice(DOMAINS)
-        pairs = [(s, t, what) for s in DOMAINS for t in DOMAINS for what in ("store", "worker")
+        pairs = [(s, t, what) for s in DOMAINS for t in DOMAINS for what in ("store", "worker", "peer")
                  if s != t and domain in (s, t)]
         await self.cut(f"domain {domain} cut off", pairs, self.rng.uniform(0.8, 14))
 
@@ -365,6 +384,43 @@
         await asyncio.sleep(seconds)
         entry.signal(signal.SIGCONT)
 
+    def relay(self):
+        leader = self.coordinator()
+        return self.rng.choice([e for e in self.entries.values() if e is not leader])
+
+    async def pause_relay(self):
+        entry, seconds = self.relay(), self.rng.uniform(0.3, 6)
+        self.note(f"{entry.name} paused for {seconds:.1f} s, relay")
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        entry.signal(signal.SIGCONT)
+
+    async def kill_relay(self):
+        entry = self.relay()
+        self.note(f"{entry.name} killed, relay")
+        entry.signal(signal.SIGKILL)
+        await self.restart(entry)
+
+    async def peer_path(self):
+        """Cuts the path between the coordinator and some others, one way or both ways."""
+        leader, pairs = self.coordinator(), []
+        ways = self.rng.choice([(True, False), (False, True), (True, True)])
+        for entry in self.rng.sample(list(self.entries.values()), self.rng.randint(1, 4)):
+            pairs += [(leader.name, entry.name, "peer")] * ways[0] + [(entry.name, leader.name, "peer")] * ways[1]
+        await self.cut(f"{leader.name} to entries, {ways}, {len(pairs)} paths", pairs, self.rng.uniform(0.8, 9))
+
+    async def peer_delay(self):
+        entry, seconds = self.rng.choice([self.coordinator(), self.relay()]), self.rng.uniform(0.8, 6)
+        entry.peer_delay = self.rng.choice([0.1, 0.5, 2.0])
+        self.note(f"messages to {entry.name} take up to {entry.peer_delay} s for {seconds:.1f} s")
+        await asyncio.sleep(seconds)
+        entry.peer_delay = 0.0
+
+    async def peer_reset(self):
+        entry = self.rng.choice([self.coordinator(), self.relay()])
+        self.note(f"connections of entries to {entry.name} reset")
+        entry.reset_peers()
+
     async def kill(self):
         entry = self.coordinator()
         self.note(f"{entry.name} killed")
