Send a late start again to its worker, and keep its task there

The start of a task got no answer. A stop was answered by the worker, 3 s after the sending the run counted as over, and the task ran and ended `done` on another worker. The first worker restarted, and its next incarnation, which knows neither the stop nor the end, carried the start out after 10.5 s.

No wait that ends before the last arrival proves that the start is gone.

A start without an answer whose run is missing in the next report is now late until 13 s after its sending. Its task starts nowhere else. The same start, with the same run number, goes to the same worker again, and after a restart to the next incarnation: whichever copy is executed first makes the run, the others make none. An end of that run is not acknowledged before, so it counts for nothing if its worker restarts. The record of a job and the handover name late starts; a successor sends them again. A worker that has answered nothing since is still waited for as before (SilentRequestDelay_): 23 s would keep tasks of workers that are lost for good longer than they may be down.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -49,6 +49,7 @@
         logLongWaits();
         Stability_.prune(now());
         forgetOldIncarnations();
+        forgetEndedLateStarts();
       });
     }
     for (JobEntry *Job : RecurringJobs_)
@@ -111,6 +112,7 @@
       WorkerOrder_.begin(), WorkerOrder_.end(), [](const WorkerEntry *Worker) {
         return Worker->HeldBackSequence_ != 0;
       }));
+  Out.LateStartWorkers_ = LateStarts_.size();
   countWaitingTasks(Out.Waiting_);
   return Out;
 }
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -35,9 +35,14 @@
   base::Duration MaxStoreSilence_ = std::chrono::minutes(15);
   //! Longest lease duration that a worker accepts.
   base::Duration MaxLeaseDuration_ = std::chrono::seconds(10);
-  //! How long after it was sent a request may still arrive. Above the time
-  //! after which a call is given up.
-  base::Duration MaxRequestDelay_ = std::chrono::milliseconds(3000);
+  //! How long after it was sent a request may still be executed. Workers carry
+  //! requests out up to 12 s after these reach them; a relay may have kept one
+  //! before that.
+  base::Duration MaxRequestDelay_ = std::chrono::seconds(13);
+  //! The same where it decides for how long a worker is waited for that has
+  //! answered nothing since. Workers that are lost for good are more frequent
+  //! than requests that are executed later behind a cut of many seconds.
+  base::Duration SilentRequestDelay_ = std::chrono::milliseconds(3000);
   //! Longest time that a worker may delay the answer to a poll. Bounds the age
   //! of the progress known here.
   base::Duration PollWait_ = std::chrono::milliseconds(1000);
@@ -146,6 +151,8 @@
   std::size_t RecoveryWaitsFor_ = 0;
   //! Workers whose results must not be acknowledged.
   std::size_t HeldBackWorkers_ = 0;
+  //! Workers that may still execute a late start.
+  std::size_t LateStartWorkers_ = 0;
   std::vector<WaitingTasks> Waiting_ = noWaitingTasks();
 };
 
--- a/src/jobs/JobRecord.cpp
+++ b/src/jobs/JobRecord.cpp
@@ -81,6 +81,8 @@
 // Rows of earlier versions end before these.
 constexpr std::size_t CrashesIndex = 5;
 constexpr std::size_t WorkerIndex = 3;
+constexpr std::size_t LateRunIndex = 4;
+constexpr std::size_t LateStateIndex = 5;
 
 json crashesToJson(const std::vector<SuspectedCrash> &Crashes) {
   json Out = json::array();
@@ -185,6 +187,13 @@
     Row.push_back(Location.Worker_);
     Out[Location.Located_ ? "located" : "starting"].push_back(std::move(Row));
   }
+  for (const auto &[Position, Late] : Progress.LateStarts_) {
+    json Row = positionToJson(Position);
+    Row.push_back(Late.Worker_);
+    Row.push_back(Late.Run_);
+    Row.push_back(std::string(LateStartStateNames.name(Late.State_)));
+    Out["late"].push_back(std::move(Row));
+  }
   for (const auto &[Position, Task] : Progress.UnfinishedTasks_) {
     json Row = positionToJson(Position);
     Row.push_back(Task.FailedRuns_);
@@ -218,6 +227,13 @@
                 Row.size() > WorkerIndex ? Row[WorkerIndex].get<std::string>()
                                          : "",
                 std::string_view(Kind) == "located"};
+        for (const json &Row : In.value("late", json::array()))
+          Out.LateStarts_[positionFromJson(Row)] = {
+              Row.at(WorkerIndex).get<std::string>(),
+              Row.at(LateRunIndex).get<uint64_t>(),
+              LateStartStateNames
+                  .parse(Row.at(LateStateIndex).get<std::string>())
+                  .value_or(LateStartState::Repeated)};
         for (const json &Row : In.value("open", json::array()))
           Out.UnfinishedTasks_[positionFromJson(Row)] = {
               Row.at(3).get<std::vector<uint64_t>>(),
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -99,6 +99,30 @@
   bool Located_ = false;
 };
 
+//! What is known of a start that may be executed late: how many copies were
+//! sent.
+enum class LateStartState : uint8_t {
+  //! Nothing: it may not have been sent yet.
+  InFlight,
+  //! It was sent, and its worker has neither answered nor listed the run.
+  Missing,
+  //! The same, and another copy was sent since. A report of the run does not
+  //! tell which of them was executed.
+  Repeated,
+};
+
+constexpr auto LateStartStateNames = base::makeNameTable<LateStartState>(
+    {{LateStartState::InFlight, "in-flight"},
+     {LateStartState::Missing, "missing"},
+     {LateStartState::Repeated, "repeated"}});
+
+//! A start that any incarnation of its worker may still execute.
+struct LateStart {
+  std::string Worker_;
+  uint64_t Run_ = 0;
+  LateStartState State_ = LateStartState::InFlight;
+};
+
 //! Stored progress of a job.
 struct JobProgress {
   JobState State_ = JobState::Queued;
@@ -113,6 +137,8 @@
   //! Of unfinished tasks. No start was sent to another worker since. A
   //! long-running task without one has no run.
   std::map<TaskPosition, TaskLocation> Locations_;
+  //! Of tasks that are done as well. They may be over.
+  std::map<TaskPosition, LateStart> LateStarts_;
   std::map<TaskPosition, TaskProgress> UnfinishedTasks_;
 };
 
--- a/src/jobs/internal/Abandonment.cpp
+++ b/src/jobs/internal/Abandonment.cpp
@@ -67,14 +67,14 @@
 bool Coordinator::Impl::abandonRuns(WorkerEntry &Worker) {
   constexpr const char *Reason = "lease-expired-at-unreachable-worker";
   cancelStarts(Worker);
-  bool UnlocatedOver = wasLatestTermAt(unlocatedRunEnd(Worker));
   bool AnyFiniteOver = false;
   bool AnyFiniteUnlocated = false;
   std::vector<RunEntry *> Over;
   for (RunEntry *Run : Worker.Runs_) {
     bool Finite = !Run->Step_->Spec_->LongRunning_;
-    AnyFiniteUnlocated = AnyFiniteUnlocated || (Finite && !Run->Located_);
-    if (!Run->Located_ && !UnlocatedOver)
+    AnyFiniteUnlocated =
+        AnyFiniteUnlocated || (Finite && (!Run->Located_ || lateStartOf(*Run)));
+    if (!wasLatestTermAt(runEnd(*Run)))
       continue;
     Over.push_back(Run);
     AnyFiniteOver = AnyFiniteOver || Finite;
@@ -130,7 +130,8 @@
              ? AbandonedIncarnations_.erase(It)
              : std::next(It);
   for (auto It = EarlierLeases_.begin(); It != EarlierLeases_.end();)
-    It = Now > It->second.LastRequestAt_ + longestLeaseTime()
+    It = Now > It->second.LastRequestAt_ +
+                     longestLeaseTime(Settings_.Times_.SilentRequestDelay_)
              ? EarlierLeases_.erase(It)
              : std::next(It);
   for (auto It = LateAcknowledgements_.begin();
--- a/src/jobs/internal/Commits.cpp
+++ b/src/jobs/internal/Commits.cpp
@@ -65,6 +65,11 @@
   JobProgress Out;
   Out.State_ = Job.State_;
   Out.FirstTerm_ = Job.FirstTerm_;
+  for (const auto &[Number, Occurrence] : Job.Occurrences_)
+    for (const StepEntry &Step : Occurrence.Steps_)
+      for (const TaskEntry &Task : Step.Tasks_)
+        if (auto Late = recordedLateStart(Task, {Job.Id_, Task.Position_}))
+          Out.LateStarts_[Task.Position_] = *Late;
   if (isFinal(Job.State_)) {
     Out.EndedAt_ = Job.FinishedWallTime_;
     return Out;
@@ -83,8 +88,13 @@
     }
     for (const StepEntry &Step : Occurrence.Steps_)
       for (const TaskEntry &Task : Step.Tasks_) {
-        if (Task.Location_ && !Task.Done_)
-          Out.Locations_[Task.Position_] = *Task.Location_;
+        if (Task.Location_ && !Task.Done_) {
+          TaskLocation Location = *Task.Location_;
+          // The next incarnation may take another copy of its start.
+          Location.Located_ =
+              Location.Located_ && Out.LateStarts_.count(Task.Position_) == 0;
+          Out.Locations_[Task.Position_] = std::move(Location);
+        }
         if (Task.Done_)
           Out.DoneTasks_.push_back(Task.Position_);
         else if (!Task.FailedRuns_.empty() || !Task.Checkpoint_.empty() ||
@@ -344,7 +354,8 @@
     JobEntry *Job = findJob(Oldest.Job_);
     bool HeldBack = Worker.HeldBackSequence_ != 0 &&
                     Oldest.SequenceNumber_ >= Worker.HeldBackSequence_;
-    if (HeldBack || (Job != nullptr && Job->DurableVersion_ < Oldest.Version_))
+    if (HeldBack || now() < Oldest.NotBefore_ ||
+        (Job != nullptr && Job->DurableVersion_ < Oldest.Version_))
       break;
     Worker.AcknowledgedSequence_ = Oldest.SequenceNumber_;
     Worker.PendingAcknowledgements_.pop_front();
--- a/src/jobs/internal/Crashes.cpp
+++ b/src/jobs/internal/Crashes.cpp
@@ -69,6 +69,12 @@
   Run.Worker_->IsolatedRuns_ -= Run.Isolated_ ? 1 : 0;
 }
 
+// While it waits for a late start, its worker is not lost under it.
+void Coordinator::Impl::noteAbsent(RunEntry &Run) {
+  forgetUnproven(Run);
+  Run.Proven_ = true;
+}
+
 void Coordinator::Impl::noteExists(RunEntry &Run, int64_t WorkerMs) {
   if (Run.Proven_)
     return;
@@ -86,7 +92,7 @@
 // worker was out of reach.
 bool Coordinator::Impl::isListedLate(const RunEntry &Run) const {
   base::TimePoint Outlived = Run.KnownSince_ +
-                             Settings_.Times_.MaxRequestDelay_ +
+                             Settings_.Times_.SilentRequestDelay_ +
                              std::chrono::milliseconds(ProofMs);
   return Run.Worker_->AnsweredPollSentAt_ &&
          *Run.Worker_->AnsweredPollSentAt_ >= Outlived;
@@ -177,12 +183,14 @@
   JobEntry &Job = *Run.Job_;
   TaskEntry &Task = Run.Step_->Tasks_[Run.Position_.Index_];
   std::vector<SuspectedCrash> &Crashes = Task.Crashes_;
-  bool Known = std::any_of(
+  // Each copy of its start may have crashed an incarnation.
+  auto Known = std::count_if(
       Crashes.begin(), Crashes.end(), [&](const SuspectedCrash &Each) {
         return Each.Evidence_ != CrashEvidence::Announced &&
                Each.Run_ == Run.Number_;
       });
-  if (Known || Task.Done_ || isFinal(Job.State_))
+  if (Known >= std::max(Run.StartsSent_, 1) || Task.Done_ ||
+      isFinal(Job.State_))
     return;
   if (isNextRunAnnounced(Task))
     Crashes.pop_back();
--- a/src/jobs/internal/Handover.cpp
+++ b/src/jobs/internal/Handover.cpp
@@ -3,6 +3,8 @@
 #include "base/Log.h"
 #include "jobs/internal/LeaseLeft.h"
 
+#include <algorithm>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 
@@ -15,10 +17,39 @@
 constexpr std::size_t RowSize = 4;
 // With the runs that are not located.
 constexpr std::size_t UnlocatedRowSize = 6;
+constexpr std::size_t LateStartRowSize = 7;
 // The value of a store's key is limited to 1 MiB of base64 text, which is a
 // third longer than the record.
 constexpr std::size_t MaxRecordBytes = 700'000;
 
+json lateStartsToJson(const std::vector<HandedOverStart> &Starts) {
+  json Out = json::array();
+  for (const HandedOverStart &Each : Starts) {
+    const TaskPosition &At = Each.Task_.Position_;
+    Out.push_back({Each.Task_.Job_, At.Occurrence_, At.Step_, At.Index_,
+                   Each.Start_.Worker_, Each.Start_.Run_,
+                   std::string(LateStartStateNames.name(Each.Start_.State_))});
+  }
+  return Out;
+}
+
+std::optional<HandedOverStart> decodeLateStart(const json &Row) {
+  auto AreNumbers = [&](std::initializer_list<std::size_t> Indexes) {
+    return std::all_of(Indexes.begin(), Indexes.end(), [&](std::size_t Index) {
+      return Row[Index].is_number_unsigned();
+    });
+  };
+  if (!Row.is_array() || Row.size() < LateStartRowSize || !Row[0].is_string() ||
+      !AreNumbers({1, 2, 3, 5}) || !Row[4].is_string() || !Row[6].is_string())
+    return std::nullopt;
+  TaskPosition At{Row[1].get<uint32_t>(), Row[2].get<uint32_t>(),
+                  Row[3].get<uint32_t>()};
+  auto State = LateStartStateNames.parse(Row[6].get<std::string>());
+  return HandedOverStart{{Row[0].get<std::string>(), At},
+                         {Row[4].get<std::string>(), Row[5].get<uint64_t>(),
+                          State.value_or(LateStartState::Repeated)}};
+}
+
 std::string encode(const Handover &From, bool WithJobs) {
   std::unordered_map<std::string, std::size_t> Indexes;
   json Jobs = json::array();
@@ -49,7 +80,8 @@
               {"fenced", From.PredecessorsFenced_},
               {"clocks", clocksToJson(From.Clocks_)},
               {"jobs", std::move(Jobs)},
-              {"workers", std::move(Workers)}};
+              {"workers", std::move(Workers)},
+              {"late", lateStartsToJson(From.LateStarts_)}};
   From.Starts_.toJson(Out);
   return Out.dump();
 }
@@ -123,6 +155,11 @@
       Out.Workers_.push_back(std::move(*Decoded));
     else
       ++Unreadable;
+  for (const json &Row : In.value("late", json::array()))
+    if (auto Decoded = decodeLateStart(Row))
+      Out.LateStarts_.push_back(std::move(*Decoded));
+    else
+      ++Unreadable;
   if (Unreadable > 0)
     base::logEvent(base::LogLevel::Error, "handover-unreadable",
                    {{"rows", Unreadable}});
--- a/src/jobs/internal/Handover.h
+++ b/src/jobs/internal/Handover.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "jobs/JobRecord.h"
 #include "jobs/internal/ClockReading.h"
 #include "jobs/internal/RecordedStarts.h"
 
@@ -27,6 +28,12 @@
   std::optional<std::vector<std::string>> UnlocatedJobs_;
 };
 
+//! A start that the next term has to look for.
+struct HandedOverStart {
+  TaskId Task_;
+  LateStart Start_;
+};
+
 //! The last record of a coordinator that resigned. It grants no lease and
 //! starts no run after it has made this.
 struct Handover {
@@ -36,13 +43,15 @@
   std::vector<HandedOverWorker> Workers_;
   RecordedStarts Starts_{};
   std::vector<ClockReading> Clocks_{};
+  std::vector<HandedOverStart> LateStarts_{};
 };
 
 //! A JSON object: term, fenced, clocks and what RecordedStarts adds, which
 //! records of earlier versions lack, the ids of all jobs, and a row for each
 //! worker with id, start time, milliseconds of lease left, the indexes of its
 //! jobs or null, milliseconds for runs that are not located, and the indexes of
-//! their jobs or null.
+//! their jobs or null; and a row for each late start with the job, occurrence,
+//! step, index, worker, run and state.
 std::string encodeHandover(const Handover &From);
 //! Leaves out rows of another shape; empty if the record as a whole is
 //! unreadable. Both are logged.
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -118,9 +118,9 @@
   void logJobEnd(const JobEntry &Job, const char *Reason,
                  const internal::TimeSpent &CriticalTime);
   void markStarted(JobEntry &Job);
-  TaskEntry *findTask(const TaskId &Id);
-  JobEntry *findJob(const std::string &Id);
-  StepEntry *findStep(JobEntry &Job, const TaskPosition &Position);
+  TaskEntry *findTask(const TaskId &Id) const;
+  JobEntry *findJob(const std::string &Id) const;
+  static StepEntry *findStep(JobEntry &Job, const TaskPosition &Position);
 
   // Runs.cpp: starts, stops and ends of runs.
   RunEntry &addRun(StepEntry &Step, TaskEntry &Task, WorkerEntry &Worker,
@@ -246,14 +246,57 @@
   // Reconciliation.cpp: the runs that a worker reports.
   void reconcileRuns(WorkerEntry &Worker, const WorkerReport &Report,
                      base::TimePoint SentAt);
+  //! The worker's report lacks a run whose start was sent.
+  void handleMissingRun(RunEntry &Run, const char *Reason);
   //! The start was sent and got no answer, so it may be executed later.
-  static bool mayStartLate(const RunEntry &Run);
-  //! All its runs that are not located have been stopped.
+  bool mayStartLate(const RunEntry &Run) const;
+  //! All that is left to do there is to wait for starts that may be late.
   bool isWaitingForLateStarts(const WorkerEntry &Worker) const;
   //! By when its start has been executed.
   base::TimePoint lastArrival(const RunEntry &Run) const;
   void adoptRun(WorkerEntry &Worker, const RunStatus &Status);
 
+  // LateStarts.cpp: starts without an answer, which may be executed late.
+  void noteLateStart(const RunEntry &Run);
+  void forgetLateStart(const TaskId &Id, TaskEntry &Task);
+  //! The worker has listed the run or its end.
+  void noteExecuted(const WorkerEntry &Worker, const TaskId &Id,
+                    uint64_t Number);
+  internal::LateStartEntry *findLateStart(const std::string &WorkerId,
+                                          const TaskId &Id);
+  const internal::LateStartEntry *findLateStart(const std::string &WorkerId,
+                                                const TaskId &Id) const;
+  //! Another incarnation may still execute a start of the run.
+  const internal::LateStartEntry *lateStartOf(const RunEntry &Run) const;
+  //! A start of it that is late keeps the task from starting anew.
+  bool mayStartLate(const StepEntry &Step, const TaskEntry &Task) const;
+  bool isOver(const std::string &WorkerId,
+              const internal::LateStartEntry &Late) const;
+  void forgetEndedLateStarts();
+  //! An unfinished task may be started there by a late request.
+  bool mayStartLateAt(const WorkerEntry &Worker) const;
+  //! The same for one of which no run is known.
+  bool isAwaitedWithoutRun(const WorkerEntry &Worker) const;
+  bool isUnfinished(const TaskId &Id) const;
+  //! Until when the result must not be acknowledged.
+  base::TimePoint acknowledgeableFrom(const WorkerEntry &Worker,
+                                      const RunResult &Result) const;
+  //! The start may be sent to the same worker again, now or soon.
+  bool isRepeatable(const RunEntry &Run) const;
+  bool mayRepeatNow(const RunEntry &Run);
+  void repeatStart(RunEntry &Run);
+  //! A repeated start was refused or not sent.
+  void onRepeatRefused(RunEntry &Run);
+  std::optional<LateStart> recordedLateStart(const TaskEntry &Task,
+                                             const TaskId &Id) const;
+  void restoreLateStart(const TaskId &Id, const LateStart &Late);
+  void restoreLateStarts(JobEntry &Job, const JobProgress &Progress);
+  //! Invoked once all records are restored.
+  void expectRestoredLateStarts();
+  //! Looks for the runs of starts of earlier terms that the first report of a
+  //! worker, which was requested at SentAt, does not list.
+  void resumeLateStarts(WorkerEntry &Worker, base::TimePoint SentAt);
+
   // Progress.cpp: stalled runs, stragglers and repeated stops.
   static bool isStopDue(const RunEntry &Run, base::TimePoint Now);
   bool isProgressReliable(const RunEntry &Run) const;
@@ -266,9 +309,9 @@
   WorkerEntry &addWorker(const WorkerInfo &Info);
   void pollDueWorkers();
   //! What a poll may acknowledge.
-  static uint64_t acknowledgeableSequence(const WorkerEntry &Worker);
+  uint64_t acknowledgeableSequence(const WorkerEntry &Worker) const;
   //! The same, unless it has arrived; 0 for nothing.
-  static uint64_t unsentAcknowledgement(const WorkerEntry &Worker);
+  uint64_t unsentAcknowledgement(const WorkerEntry &Worker) const;
   base::TimePoint lateAcknowledgementUntil(const WorkerEntry &Worker) const;
   void poll(WorkerEntry &Worker);
   bool needsPoll(const WorkerEntry &Worker) const;
@@ -304,11 +347,14 @@
   //! By when the runs on it have ended that are not located. A later
   //! incarnation may hold its longest lease for them.
   base::TimePoint unlocatedRunEnd(const WorkerEntry &Worker) const;
+  //! By when the run has ended if its worker does not answer any more.
+  base::TimePoint runEnd(const RunEntry &Run) const;
   void fencePredecessors(WorkerEntry &Worker);
-  //! Longest time after a request was sent for which a worker can hold a lease
-  //! that it granted.
-  base::Duration longestLeaseTime() const;
-  void expectLongestLease(WorkerEntry &Worker, base::TimePoint LastRequestAt);
+  //! Longest time for which a worker can hold a lease that a request grants
+  //! which is executed after Delay.
+  base::Duration longestLeaseTime(base::Duration Delay) const;
+  void expectLongestLease(WorkerEntry &Worker, base::TimePoint LastRequestAt,
+                          base::Duration Delay);
   //! Expects the leases that requests to an earlier incarnation may grant.
   void expectEarlierLease(WorkerEntry &Worker);
   void recordClock(WorkerEntry &Worker, int64_t WorkerMs,
@@ -364,6 +410,8 @@
 
   // Resignation.cpp: what a term that resigns leaves behind.
   internal::HandedOverWorker handedOver(const WorkerEntry &Worker) const;
+  //! All that may be executed after this term.
+  std::vector<internal::HandedOverStart> lateStarts() const;
   //! Jobs of which the worker may run a task or hold a result that is not
   //! durable; empty if any job may be among them.
   std::optional<std::vector<std::string>>
@@ -414,6 +462,8 @@
   // Crashes.cpp: tasks that crash their workers.
   void countUnproven(RunEntry &Run);
   void forgetUnproven(RunEntry &Run);
+  //! The worker does not have the run, although it may get it.
+  void noteAbsent(RunEntry &Run);
   void noteExists(RunEntry &Run, int64_t WorkerMs);
   bool isListedLate(const RunEntry &Run) const;
   void proveRun(RunEntry &Run);
@@ -581,6 +631,9 @@
   };
   //! By worker id.
   std::unordered_map<std::string, EarlierLease> EarlierLeases_;
+  //! By worker id.
+  std::unordered_map<std::string, std::vector<internal::LateStartEntry>>
+      LateStarts_;
   //! LateAcknowledgementUntil_ of incarnations that are gone, by worker id.
   std::unordered_map<std::string, base::TimePoint> LateAcknowledgements_;
   //! Incarnations with RunsAbandoned_ that are gone and may come back, by
--- a/src/jobs/internal/Jobs.cpp
+++ b/src/jobs/internal/Jobs.cpp
@@ -22,7 +22,8 @@
   return (Number - 1) / RunsPerTerm + 1;
 }
 
-Coordinator::Impl::JobEntry *Coordinator::Impl::findJob(const std::string &Id) {
+Coordinator::Impl::JobEntry *
+Coordinator::Impl::findJob(const std::string &Id) const {
   auto It = Jobs_.find(Id);
   return It == Jobs_.end() ? nullptr : It->second.get();
 }
@@ -37,7 +38,7 @@
   return Position.Index_ < Step.Tasks_.size() ? &Step : nullptr;
 }
 
-internal::TaskEntry *Coordinator::Impl::findTask(const TaskId &Id) {
+internal::TaskEntry *Coordinator::Impl::findTask(const TaskId &Id) const {
   JobEntry *Job = findJob(Id.Job_);
   StepEntry *Step = Job != nullptr ? findStep(*Job, Id.Position_) : nullptr;
   return Step != nullptr ? &Step->Tasks_[Id.Position_.Index_] : nullptr;
@@ -99,6 +100,8 @@
   // A finished job also gets its occurrences: its runs that are still being
   // stopped are adopted into them.
   createDueOccurrences(Job);
+  if (Progress)
+    restoreLateStarts(Job, *Progress);
   if (isFinal(Job.State_))
     return;
   if (Progress) {
--- a/src/jobs/internal/Locations.cpp
+++ b/src/jobs/internal/Locations.cpp
@@ -236,6 +236,10 @@
   for (const RunEntry *Run : Worker.Runs_)
     if (isUnlocated(*Run))
       Jobs.insert(Run->Job_->Id_);
+  if (auto It = LateStarts_.find(Worker.Info_.Id_); It != LateStarts_.end())
+    for (const internal::LateStartEntry &Late : It->second)
+      if (isUnfinished(Late.Task_))
+        Jobs.insert(Late.Task_.Job_);
   return {Jobs.begin(), Jobs.end()};
 }
 
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -35,6 +35,7 @@
 bool Coordinator::Impl::isStartable(const StepEntry &Step,
                                     const TaskEntry &Task) const {
   return !Task.Done_ && Task.Runs_.empty() && hasRecovered(Step, Task) &&
+         !mayStartLate(Step, Task) &&
          Confirmation_.coversRevision(Step.Job_->Revision_) &&
          (Task.Crashes_.empty() ||
           Step.Job_->DurableVersion_ >= Task.CrashesVersion_);
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -41,7 +41,8 @@
          Worker.MayHoldLease_ == Worker.Info_.Draining_ ||
          (Worker.Clock_ && now() - Worker.Clock_->TakenAt_ >= MaxClockAge) ||
          Worker.AcknowledgedSequence_ > Worker.ArrivedAcknowledgedSequence_ ||
-         !Worker.PendingAcknowledgements_.empty() || mustConfirmTerm(Worker);
+         !Worker.PendingAcknowledgements_.empty() || mayStartLateAt(Worker) ||
+         mustConfirmTerm(Worker);
 }
 
 base::Duration Coordinator::Impl::pollWait(const WorkerEntry &Worker) const {
@@ -56,15 +57,17 @@
 
 // A later incarnation counts its results anew and would discard the result of a
 // run that is not located.
-uint64_t Coordinator::Impl::acknowledgeableSequence(const WorkerEntry &Worker) {
+uint64_t
+Coordinator::Impl::acknowledgeableSequence(const WorkerEntry &Worker) const {
   bool AllLocated =
-      !Worker.UnseenAbandoned_ &&
+      !Worker.UnseenAbandoned_ && !mayStartLateAt(Worker) &&
       std::all_of(Worker.Runs_.begin(), Worker.Runs_.end(),
                   [](const RunEntry *Run) { return !isUnlocated(*Run); });
   return AllLocated ? Worker.AcknowledgedSequence_ : 0;
 }
 
-uint64_t Coordinator::Impl::unsentAcknowledgement(const WorkerEntry &Worker) {
+uint64_t
+Coordinator::Impl::unsentAcknowledgement(const WorkerEntry &Worker) const {
   uint64_t Sequence = acknowledgeableSequence(Worker);
   // A worker that is out of reach may restart before it is back.
   bool MayArrive = Worker.PollFailures_ == 0;
@@ -80,7 +83,7 @@
     return Worker.LateAcknowledgementUntil_;
   return std::max<base::TimePoint>(Worker.LateAcknowledgementUntil_,
                                    Worker.PollSentAt_ +
-                                       Settings_.Times_.MaxRequestDelay_);
+                                       Settings_.Times_.SilentRequestDelay_);
 }
 
 void Coordinator::Impl::poll(WorkerEntry &Worker) {
@@ -243,6 +246,7 @@
       continue;
     }
     noteLocated(*Run);
+    noteExecuted(Worker, Status.Task_, Status.Run_);
     markStarted(*Run->Job_);
     noteExists(*Run, Report.ClockMs_);
     if (Run->ProgressPercent_ != Status.ProgressPercent_ ||
@@ -257,6 +261,8 @@
       Run->Phase_ = RunPhase::Running;
   }
   processResults(Worker, Report);
+  if (FirstAnswer)
+    resumeLateStarts(Worker, SentAt);
   reconcileRuns(Worker, Report, SentAt);
   if (FirstAnswer && Worker.Info_.Draining_)
     drainWorker(Worker);
@@ -306,6 +312,7 @@
     Worker.LastResultSequence_ = Result.SequenceNumber_;
     if (JobEntry *Job = findJob(Result.Task_.Job_))
       createStartedOccurrence(*Job, Result.Task_.Position_.Occurrence_);
+    noteExecuted(Worker, Result.Task_, Result.Run_);
     if (mustHoldBack(Worker, Report, Result))
       holdBack(Worker, Result);
     handleResult(Worker, Result);
@@ -329,14 +336,16 @@
 void Coordinator::Impl::queueAcknowledgement(WorkerEntry &Worker,
                                              const RunResult &Result) {
   JobEntry *Job = findJob(Result.Task_.Job_);
+  base::TimePoint NotBefore = acknowledgeableFrom(Worker, Result);
   if (Job != nullptr && Job->Version_ > Job->DurableVersion_)
     Worker.PendingAcknowledgements_.push_back(
-        {Result.SequenceNumber_, Job->Id_, Job->Version_});
+        {Result.SequenceNumber_, Job->Id_, Job->Version_, NotBefore});
   else if (Worker.PendingAcknowledgements_.empty() &&
-           Worker.HeldBackSequence_ == 0)
+           Worker.HeldBackSequence_ == 0 && now() >= NotBefore)
     Worker.AcknowledgedSequence_ = Result.SequenceNumber_;
   else
-    Worker.PendingAcknowledgements_.push_back({Result.SequenceNumber_, "", 0});
+    Worker.PendingAcknowledgements_.push_back(
+        {Result.SequenceNumber_, "", 0, NotBefore});
 }
 
 void Coordinator::Impl::adaptToCongestion() {
--- a/src/jobs/internal/Reconciliation.cpp
+++ b/src/jobs/internal/Reconciliation.cpp
@@ -36,27 +36,48 @@
     if (Listed)
       continue;
     if (Run->Phase_ == RunPhase::StartUnconfirmed && SentAt >= Run->PhaseSince_)
-      requestStop(*Run, "start-unanswered");
+      handleMissingRun(*Run, "start-unanswered");
     else if (Run->Phase_ == RunPhase::Running && SentAt > Run->PhaseSince_)
-      requestStop(*Run, "not-listed");
+      handleMissingRun(*Run, "not-listed");
     else if (Run->Phase_ == RunPhase::Stopping && Run->StopAcceptedAt_ &&
-             SentAt > *Run->StopAcceptedAt_ &&
-             (!mayStartLate(*Run) || SentAt >= lastArrival(*Run))) {
+             SentAt > *Run->StopAcceptedAt_) {
+      if (mayStartLate(*Run) && SentAt < lastArrival(*Run)) {
+        noteAbsent(*Run);
+        continue;
+      }
       confirmCrash(*Run);
       concludeUnreportedRun(*Run, "stopped-before-start");
     }
   }
 }
 
-bool Coordinator::Impl::mayStartLate(const RunEntry &Run) {
-  return isUnlocated(Run) && !Run.Accepted_;
+void Coordinator::Impl::handleMissingRun(RunEntry &Run, const char *Reason) {
+  bool MaySend = Run.StartsSent_ == 0 && !Run.Adopted_;
+  if (!Run.Accepted_ && !MaySend)
+    noteLateStart(Run);
+  if ((!mayStartLate(Run) && !MaySend) || !isRepeatable(Run)) {
+    requestStop(Run, Reason);
+    return;
+  }
+  if (Run.Phase_ != RunPhase::StartUnconfirmed) {
+    Run.Phase_ = RunPhase::StartUnconfirmed;
+    Run.PhaseSince_ = now();
+  }
+  noteAbsent(Run);
+  if (mayRepeatNow(Run))
+    repeatStart(Run);
+}
+
+bool Coordinator::Impl::mayStartLate(const RunEntry &Run) const {
+  bool IsUnanswered = isUnlocated(Run) && !Run.Accepted_ && Run.StartsSent_ > 0;
+  return IsUnanswered || lateStartOf(Run) != nullptr;
 }
 
 bool Coordinator::Impl::isWaitingForLateStarts(
     const WorkerEntry &Worker) const {
-  bool Any = false;
+  bool Any = isAwaitedWithoutRun(Worker);
   for (const RunEntry *Run : Worker.Runs_) {
-    if (!isUnlocated(*Run))
+    if (!isUnlocated(*Run) || Run->Phase_ == RunPhase::StartUnconfirmed)
       continue;
     if (Run->Phase_ != RunPhase::Stopping || !Run->StopAcceptedAt_ ||
         now() >= lastArrival(*Run))
@@ -67,7 +88,10 @@
 }
 
 base::TimePoint Coordinator::Impl::lastArrival(const RunEntry &Run) const {
-  return Run.StartedAt_ + Settings_.Times_.MaxRequestDelay_;
+  base::TimePoint Out = Run.StartedAt_ + Settings_.Times_.MaxRequestDelay_;
+  if (const internal::LateStartEntry *Late = lateStartOf(Run))
+    return Run.Accepted_ ? Late->Until_ : std::max(Out, Late->Until_);
+  return Out;
 }
 
 void Coordinator::Impl::adoptRun(WorkerEntry &Worker, const RunStatus &Status) {
--- a/src/jobs/internal/Recovery.cpp
+++ b/src/jobs/internal/Recovery.cpp
@@ -25,8 +25,11 @@
     Worker->MayObeyPredecessor_ =
         Worker->MayHoldLease_ || !UsedWorkersComplete_;
     if (Worker->MayObeyPredecessor_)
-      UnlocatedRuns_.emplace(Id,
-                             UnlocatedRuns{now() + longestLeaseTime(), {}, {}});
+      UnlocatedRuns_.emplace(
+          Id, UnlocatedRuns{now() + longestLeaseTime(
+                                        Settings_.Times_.SilentRequestDelay_),
+                            {},
+                            {}});
     if (!UsedWorkersComplete_)
       RecordedHolders_.insert(Id);
   }
@@ -51,6 +54,7 @@
        {"draining_workers", CountWorkers([](const WorkerEntry *Worker) {
           return Worker->Info_.Draining_;
         })}});
+  expectRestoredLateStarts();
   updateUnseenRuns();
   pollDueWorkers();
 }
--- a/src/jobs/internal/Resignation.cpp
+++ b/src/jobs/internal/Resignation.cpp
@@ -31,9 +31,25 @@
   for (const WorkerEntry *Worker : WorkerOrder_)
     if (Worker->MayHoldLease_ || now() < leaseEnd(*Worker))
       Out.Workers_.push_back(handedOver(*Worker));
+  Out.LateStarts_ = lateStarts();
   return internal::encodeHandover(Out);
 }
 
+std::vector<internal::HandedOverStart> Coordinator::Impl::lateStarts() const {
+  std::vector<internal::HandedOverStart> Out;
+  for (const auto &[WorkerId, Entries] : LateStarts_)
+    for (const internal::LateStartEntry &Late : Entries)
+      Out.push_back({Late.Task_, {WorkerId, Late.Run_, Late.State_}});
+  for (const WorkerEntry *Worker : WorkerOrder_)
+    for (const RunEntry *Run : Worker->Runs_)
+      if (isUnlocated(*Run) && !Run->Step_->Spec_->Speculative_ &&
+          lateStartOf(*Run) == nullptr)
+        Out.push_back(
+            {{Run->Job_->Id_, Run->Position_},
+             {Worker->Info_.Id_, Run->Number_, LateStartState::Missing}});
+  return Out;
+}
+
 internal::HandedOverWorker
 Coordinator::Impl::handedOver(const WorkerEntry &Worker) const {
   internal::HandedOverWorker Out;
--- a/src/jobs/internal/Restoration.cpp
+++ b/src/jobs/internal/Restoration.cpp
@@ -48,7 +48,8 @@
         internal::isLaterStart(Worker.Info_.StartTimeMs_, Used.StartTimeMs_);
     Worker.RestartedBeforeTerm_ = !SameIncarnation;
     if (!SameIncarnation)
-      expectLongestLease(Worker, now() + lastLeaseAfterTerm());
+      expectLongestLease(Worker, now() + lastLeaseAfterTerm(),
+                         Settings_.Times_.SilentRequestDelay_);
     // A term between the two may have run an earlier version, which does not
     // read the rest and grants leases all the same.
     else if (Used.LeaseLeft_ &&
@@ -56,7 +57,7 @@
       Worker.RecordedLeaseEnd_ = UsedWorkersWrittenBefore_ + *Used.LeaseLeft_;
       NoteUnlocated(Used);
     } else if (Used.MayHoldLongestLease_)
-      expectLongestLease(Worker, now());
+      expectLongestLease(Worker, now(), Settings_.Times_.SilentRequestDelay_);
     // A term between the two that did not know of the row would have written
     // others, so the last commit would not be known.
     bool IsExcluded = Used.UnlocatedLeft_ && !Used.LeaseLeft_ && LastCommit_;
@@ -114,6 +115,8 @@
                                     internal::RecordKind::Handover};
       ++Bounded;
     }
+    for (const internal::HandedOverStart &Each : Read->LateStarts_)
+      restoreLateStart(Each.Task_, Each.Start_);
   }
   base::logEvent(base::LogLevel::Info, "handover-read",
                  {{"term", Settings_.Term_},
--- a/src/jobs/internal/Runs.cpp
+++ b/src/jobs/internal/Runs.cpp
@@ -121,6 +121,9 @@
   RunEntry &Run = addRun(Step, Task, Worker, Number);
   Task.LastRun_ = std::max(Task.LastRun_, Number);
   Task.Recovered_ = true;
+  // One that an earlier term sent and that is not waited for any longer.
+  if (!Task.LateStartOn_.empty())
+    forgetLateStart({Step.Job_->Id_, Task.Position_}, Task);
   ++StartsInFlight_;
   if (RecordFirst)
     announceStart(Run);
@@ -135,6 +138,7 @@
   TaskEntry &Task = Step.Tasks_[Run.Position_.Index_];
   WorkerEntry &Worker = *Run.Worker_;
   Run.Phase_ = RunPhase::StartSent;
+  ++Run.StartsSent_;
   Run.PhaseSince_ = Run.StartedAt_ = Run.LastProgressAt_ = now();
   StartRequest Request;
   Request.Task_ = {Step.Job_->Id_, Task.Position_};
@@ -156,6 +160,7 @@
       base::LogLevel::Info, "task-start",
       {{"task", taskName(Request.Task_)},
        {"run", Run.Number_},
+       {"copy", static_cast<int64_t>(Run.StartsSent_)},
        {"worker", Worker.Info_.Id_},
        {"born_ms", Worker.Info_.StartTimeMs_},
        {"announced_ms", base::toMillis(now() - Run.KnownSince_)},
@@ -234,7 +239,11 @@
   case RequestStatus::LeaseExpired:
     // The connection may have sent the request twice, and the run of the first
     // copy may have ended.
+    Run->RefusedAsOutdated_ = true;
+    [[fallthrough]];
   case RequestStatus::Unknown:
+    if (Run->StartsSent_ > 1)
+      noteLateStart(*Run);
     if (Run->Phase_ == RunPhase::StartSent) {
       Run->Phase_ = RunPhase::StartUnconfirmed;
       Run->PhaseSince_ = now();
@@ -246,6 +255,10 @@
                    "another-life-answered");
     return;
   case RequestStatus::Withheld:
+    if (Run->StartsSent_ > 1) {
+      onRepeatRefused(*Run);
+      return;
+    }
     Run->Step_->WithheldUntil_ = now() + WithheldStartDelay;
     endRun(*Run, internal::TimeUse::Capacity, "start-withheld");
     return;
@@ -253,6 +266,10 @@
     Worker.AvoidUntil_ = std::max(Worker.AvoidUntil_, now() + RefusalAvoidance);
     if (Reply.Status_ == RequestStatus::NotSent)
       markPollFailure(Worker);
+    if (Run->StartsSent_ > 1) {
+      onRepeatRefused(*Run);
+      return;
+    }
     endRun(*Run, internal::TimeUse::LostWorker, "start-not-accepted");
   }
 }
--- a/src/jobs/internal/Tables.h
+++ b/src/jobs/internal/Tables.h
@@ -89,6 +89,10 @@
   //! A worker has accepted its start. Unless located, that may have been a
   //! later incarnation.
   bool Accepted_ = false;
+  //! How often its start was sent.
+  int StartsSent_ = 0;
+  //! This incarnation refused its start as outdated, so it is not repeated.
+  bool RefusedAsOutdated_ = false;
   //! Clock in the answer to its start, which may be that of a later
   //! incarnation.
   std::optional<int64_t> StartClockMs_;
@@ -145,6 +149,9 @@
   std::vector<RunEntry *> Runs_;
   //! Highest number of a run that this coordinator started or found running.
   uint64_t LastRun_ = 0;
+  //! Id of the worker that may still execute a late start of it; empty if there
+  //! is none.
+  std::string LateStartOn_;
   std::optional<PreviousRun> Previous_;
   //! Runs that were stopped as stragglers.
   uint32_t StragglerMoves_ = 0;
@@ -244,6 +251,18 @@
   uint64_t SequenceNumber_ = 0;
   std::string Job_;
   uint64_t Version_ = 0;
+  //! A late start of its run may be executed until then.
+  base::TimePoint NotBefore_{};
+};
+
+//! A start that any incarnation of its worker may execute until Until_.
+struct LateStartEntry {
+  TaskId Task_;
+  uint64_t Run_ = 0;
+  LateStartState State_ = LateStartState::InFlight;
+  base::TimePoint Until_;
+  //! It is known from an earlier term, and its worker has not answered since.
+  bool Unseen_ = false;
 };
 
 //! Keeps the capacity that becomes free on a worker for a step that waits.
--- a/src/jobs/internal/Workers.cpp
+++ b/src/jobs/internal/Workers.cpp
@@ -53,17 +53,17 @@
   return *Worker;
 }
 
-base::Duration Coordinator::Impl::longestLeaseTime() const {
-  return Settings_.Times_.MaxRequestDelay_ +
-         boundOnWorkerClock(Settings_.Times_.MaxLeaseDuration_);
+base::Duration Coordinator::Impl::longestLeaseTime(base::Duration Delay) const {
+  return Delay + boundOnWorkerClock(Settings_.Times_.MaxLeaseDuration_);
 }
 
 // A request that was sent to an earlier incarnation may reach this one. The end
 // of the lease that it grants is given on the earlier clock, which was ahead,
 // so this incarnation may take it for its longest lease.
 void Coordinator::Impl::expectLongestLease(WorkerEntry &Worker,
-                                           base::TimePoint LastRequestAt) {
-  Worker.LongestLeaseUntil_ = LastRequestAt + longestLeaseTime();
+                                           base::TimePoint LastRequestAt,
+                                           base::Duration Delay) {
+  Worker.LongestLeaseUntil_ = LastRequestAt + longestLeaseTime(Delay);
   Worker.LatestLeaseEnd_ =
       std::max(Worker.LatestLeaseEnd_, Worker.LongestLeaseUntil_);
 }
@@ -79,7 +79,8 @@
                        (Worker.Info_.StartTimeMs_ != 0 &&
                         Worker.Info_.StartTimeMs_ != GoneStartTimeMs);
   if (ShowsLaterOne)
-    expectLongestLease(Worker, LastRequestAt);
+    expectLongestLease(Worker, LastRequestAt,
+                       Settings_.Times_.SilentRequestDelay_);
 }
 
 bool Coordinator::Impl::isEarlierEntry(const WorkerEntry &Worker,
@@ -231,10 +232,18 @@
 Coordinator::Impl::unlocatedRunEnd(const WorkerEntry &Worker) const {
   base::TimePoint End = leaseEnd(Worker);
   if (Worker.LastLeaseGrantAt_)
-    End = std::max(End, *Worker.LastLeaseGrantAt_ + longestLeaseTime());
+    End = std::max(End,
+                   *Worker.LastLeaseGrantAt_ +
+                       longestLeaseTime(Settings_.Times_.SilentRequestDelay_));
   return End;
 }
 
+base::TimePoint Coordinator::Impl::runEnd(const RunEntry &Run) const {
+  if (const internal::LateStartEntry *Late = lateStartOf(Run))
+    return Late->Until_ + longestLeaseTime({});
+  return Run.Located_ ? leaseEnd(*Run.Worker_) : unlocatedRunEnd(*Run.Worker_);
+}
+
 // From now on the worker refuses what a predecessor sends it.
 void Coordinator::Impl::fencePredecessors(WorkerEntry &Worker) {
   PredecessorLeases_.fence(Worker.Info_.Id_, now());
@@ -296,7 +305,7 @@
   else if (Worker.LastLeaseGrantAt_)
     EarlierLeases_[Id] = {*Worker.LastLeaseGrantAt_, Info.StartTimeMs_};
   // One of an earlier term, which this incarnation would have refused.
-  else if (now() < RecoveryStartedAt_ + Settings_.Times_.MaxRequestDelay_)
+  else if (now() < RecoveryStartedAt_ + Settings_.Times_.SilentRequestDelay_)
     EarlierLeases_[Id] = {RecoveryStartedAt_, Info.StartTimeMs_};
   if (Loss == WorkerLoss::IncarnationEnded)
     PredecessorLeases_.fence(Id, now());
@@ -316,8 +325,8 @@
 }
 
 // Runs that were located on the earlier incarnation are over. Other starts may
-// have reached the new incarnation, which has the same id: they stay
-// unconfirmed until it is polled.
+// have reached the new incarnation, which has the same id, or may still do so:
+// they stay unconfirmed until it is polled.
 void Coordinator::Impl::replaceIncarnation(WorkerEntry &Worker,
                                            const WorkerInfo &NewInfo) {
   struct UnconfirmedStart {
@@ -325,6 +334,7 @@
     TaskEntry *Task_;
     uint64_t Number_;
     bool Accepted_;
+    int StartsSent_;
     base::TimePoint StartedAt_;
     std::optional<TaskLocation> Location_;
   };
@@ -332,10 +342,18 @@
   cancelStarts(Worker);
   recordWorkerLoss(Worker, WorkerLoss::IncarnationEnded);
   for (RunEntry *Run : std::vector<RunEntry *>(Worker.Runs_)) {
-    if (Run->Located_)
+    bool MayStartLate = lateStartOf(*Run) != nullptr;
+    if (Run->Located_ && !MayStartLate)
       continue;
     TaskEntry &Task = Run->Step_->Tasks_[Run->Position_.Index_];
-    Unconfirmed.push_back({Run->Step_, &Task, Run->Number_, Run->Accepted_,
+    if (!Run->Checkpoint_.empty())
+      Task.Checkpoint_ = Run->Checkpoint_;
+    if (Run->Located_ && Task.Location_) {
+      Task.Location_->Located_ = false;
+      markDirty(*Run->Job_);
+    }
+    Unconfirmed.push_back({Run->Step_, &Task, Run->Number_,
+                           Run->Accepted_ && !MayStartLate, Run->StartsSent_,
                            Run->StartedAt_, Task.Location_});
     removeRun(*Run, internal::TimeUse::LostWorker);
   }
@@ -355,6 +373,7 @@
         addRun(*Start.Step_, *Start.Task_, NewWorker, Start.Number_);
     Run.Phase_ = RunPhase::StartUnconfirmed;
     Run.Accepted_ = Start.Accepted_;
+    Run.StartsSent_ = Start.StartsSent_;
     Run.StartedAt_ = Start.StartedAt_;
     Start.Task_->Location_ = Start.Location_;
     if (Start.Step_->Spec_->BestEffort_)
--- a/tests/jobs/RandomRestarts.tests.cpp
+++ b/tests/jobs/RandomRestarts.tests.cpp
@@ -149,7 +149,7 @@
 };
 
 // In this history restarts of workers are taken for crashes of a sound task.
-constexpr uint64_t GivenUpSeed = 72;
+constexpr uint64_t GivenUpSeed = 106;
 
 } // namespace
 
--- a/tests/jobs/UnseenIncarnations.tests.cpp
+++ b/tests/jobs/UnseenIncarnations.tests.cpp
@@ -119,8 +119,7 @@
 // Guards against a successor that takes the answer of one incarnation for proof
 // that no late start of its predecessor reaches the next one.
 TEST_CASE("A late start makes no second run after a handover to a successor "
-          "that the former incarnation has answered" *
-          doctest::should_fail()) {
+          "that the former incarnation has answered") {
   JobWorld World;
   World.addWorker("w0");
   World.addWorker("w1");
@@ -135,7 +134,7 @@
     if (From.Kind_ != RequestKind::Start || SentAt)
       return std::nullopt;
     SentAt = World.now();
-    return milliseconds(2'900);
+    return milliseconds(11'900);
   };
   World.RunDuration_ = seconds(20);
   JobSpec Spec = chainJob(1, 1);
@@ -151,7 +150,7 @@
     World.run(milliseconds(1'200));
     World.handOver(milliseconds(300));
   }
-  World.run(*SentAt + milliseconds(2'700) - World.now());
+  World.run(*SentAt + milliseconds(11'700) - World.now());
   World.restartWorkerAfter("w0", milliseconds(100));
   World.run(milliseconds(300));
   World.registerWorker("w0");
