Keep starts from a worker for 13 s after an unanswered acknowledgement

A poll that acknowledges results and got no answer may be executed up to 12 s later, by the next incarnation of its worker, where it discards the ends of other runs unread: their tasks run again after an end that counts. Starts were kept from the worker for 3 s only, a bound that nothing supports.

They now wait for MaxRequestDelay_, at the next incarnation as well.

--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -83,7 +83,7 @@
     return Worker.LateAcknowledgementUntil_;
   return std::max<base::TimePoint>(Worker.LateAcknowledgementUntil_,
                                    Worker.PollSentAt_ +
-                                       Settings_.Times_.SilentRequestDelay_);
+                                       Settings_.Times_.MaxRequestDelay_);
 }
 
 void Coordinator::Impl::poll(WorkerEntry &Worker) {
