--- a/src/relay/PayloadPort.cpp
+++ b/src/relay/PayloadPort.cpp
@@ -16,7 +16,7 @@
 // Four round trips between regions; the store is asked after that.
 constexpr auto PeerTimeout = std::chrono::milliseconds(250);
 // With the time for which a call may take, it stays below
-// CoordinatorTimings::MaxRequestDelay_.
+// CoordinatorTimings::SilentRequestDelay_; MaxRequestDelay_ includes it.
 constexpr auto MaxPayloadWait = std::chrono::milliseconds(600);
 
 } // namespace
--- a/src/relay/RelayedPort.h
+++ b/src/relay/RelayedPort.h
@@ -38,7 +38,7 @@
 public:
   //! For how long a relay may keep a request before it sends it. With the
   //! time for which a call may take, it stays below
-  //! CoordinatorTimings::MaxRequestDelay_.
+  //! CoordinatorTimings::SilentRequestDelay_; MaxRequestDelay_ includes it.
   static constexpr base::Duration MaxRelayDelay =
       std::chrono::milliseconds(600);
 
--- a/tests/jobs/Handover.tests.cpp
+++ b/tests/jobs/Handover.tests.cpp
@@ -42,6 +42,23 @@
   CHECK_FALSE(Read->Workers_[3].UnlocatedLeft_);
 }
 
+TEST_CASE("The late starts of a handover are read as they were written") {
+  Handover Written;
+  Written.LateStarts_ = {
+      {{"a", {1, 2, 3}}, {"w1", 100'001, LateStartState::Repeated}},
+      {{"b", {}}, {"w2", 7, LateStartState::Missing}}};
+  auto Read = decodeHandover(encodeHandover(Written));
+  REQUIRE(Read);
+  REQUIRE(Read->LateStarts_.size() == 2);
+  const HandedOverStart &First = Read->LateStarts_[0];
+  CHECK(First.Task_.Job_ == "a");
+  CHECK(First.Task_.Position_ == TaskPosition{1, 2, 3});
+  CHECK(First.Start_.Worker_ == "w1");
+  CHECK(First.Start_.Run_ == 100'001);
+  CHECK(First.Start_.State_ == LateStartState::Repeated);
+  CHECK(Read->LateStarts_[1].Start_.State_ == LateStartState::Missing);
+}
+
 TEST_CASE("A handover that would exceed the size of a stored value names no "
           "jobs") {
   Handover Large;
--- a/tests/jobs/LastCommit.tests.cpp
+++ b/tests/jobs/LastCommit.tests.cpp
@@ -79,4 +79,17 @@
   CHECK(Read->Locations_.at({0, 1, 0}).Located_);
 }
 
+TEST_CASE("The late starts of a finished job are read as they were written") {
+  JobProgress Written;
+  Written.State_ = JobState::Completed;
+  Written.LateStarts_[{0, 1, 2}] = {"w1", 100'001, LateStartState::Repeated};
+  auto Read = decodeJobProgress(encode(Written));
+  REQUIRE(Read);
+  REQUIRE(Read->LateStarts_.size() == 1);
+  const LateStart &Late = Read->LateStarts_.at({0, 1, 2});
+  CHECK(Late.Worker_ == "w1");
+  CHECK(Late.Run_ == 100'001);
+  CHECK(Late.State_ == LateStartState::Repeated);
+}
+
 } // namespace crocuslead::jobs::internal::test
--- a/tests/jobs/LateStarts.tests.cpp
+++ b/tests/jobs/LateStarts.tests.cpp
@@ -242,4 +242,18 @@
   Case.requireOneCompletion();
 }
 
+// SilentRequestDelay_ ends the wait for a worker that has answered nothing.
+TEST_CASE("A late start makes no second run at a worker that has been out of "
+          "reach since it was sent" *
+          doctest::should_fail()) {
+  LateStart Case(MaxLateness);
+  Case.submit(seconds(20));
+  Case.World_.restartWorkerAfter(Case.Worker_, milliseconds(300));
+  Case.World_.worker(Case.Worker_).DropsReplies_ = true;
+  Case.World_.run(seconds(25));
+  Case.World_.worker(Case.Worker_).DropsReplies_ = false;
+  Case.World_.registerWorker(Case.Worker_);
+  Case.requireOneCompletion();
+}
+
 } // namespace crocuslead::jobs::test
--- a/tests/jobs/RandomRelays.tests.cpp
+++ b/tests/jobs/RandomRelays.tests.cpp
@@ -82,7 +82,7 @@
     (this->*Actions[random(std::size(Actions))])();
   }
 
-  //! Requests that wait at a relay for longer than MaxRequestDelay_, while
+  //! Requests that wait at a relay for longer than it may keep them, while
   //! workers begin new incarnations, which know no run and no lease.
   void actLate() {
     static constexpr Action Actions[] = {
--- a/tests/relay/PayloadPort.tests.cpp
+++ b/tests/relay/PayloadPort.tests.cpp
@@ -128,7 +128,7 @@
   CHECK(F.Ends_[0].Status_ == RequestStatus::Withheld);
 }
 
-// CoordinatorTimings::MaxRequestDelay_ has to cover the wait and the call.
+// CoordinatorTimings::SilentRequestDelay_ has to cover the wait and the call.
 TEST_CASE("A start that the coordinator sends itself waits 1.5 s at most") {
   Fixture F;
   F.start(leanStartOf("j"));
