Log which workers unanswered acknowledgements close, and polls that acknowledge

step-waiting has unanswered_acknowledgements, coordinator-load has late_acknowledgements and acknowledging_polls, and a metric counts the workers.

--- a/src/jobs/Coordinator.cpp
+++ b/src/jobs/Coordinator.cpp
@@ -93,6 +93,7 @@
   Out.RunsEnded_ = RunsEnded_;
   Out.WithheldPasses_ = WithheldPasses_;
   Out.Polls_ = Polls_;
+  Out.AcknowledgingPolls_ = AcknowledgingPolls_;
   Out.Commits_ = Commits_;
   Out.CommitTime_ = CommitTime_;
   Out.UncommittedJobs_ = DirtyJobs_.size();
@@ -115,6 +116,11 @@
         return Worker->HeldBackSequence_ != 0;
       }));
   Out.LateStartWorkers_ = LateStarts_.size();
+  Out.LateAcknowledgementWorkers_ = static_cast<std::size_t>(
+      std::count_if(WorkerOrder_.begin(), WorkerOrder_.end(),
+                    [this](const WorkerEntry *Worker) {
+                      return mustAwaitAcknowledgement(*Worker);
+                    }));
   countWaitingTasks(Out.Waiting_);
   return Out;
 }
--- a/src/jobs/Coordinator.h
+++ b/src/jobs/Coordinator.h
@@ -129,6 +129,8 @@
   uint64_t Starts_ = 0;
   uint64_t RunsEnded_ = 0;
   uint64_t Polls_ = 0;
+  //! Those of Polls_ that acknowledged results and did not wait for others.
+  uint64_t AcknowledgingPolls_ = 0;
   //! Replies to starts, and the time for which all of them waited on the path
   //! or in this process.
   uint64_t StartReplies_ = 0;
@@ -156,6 +158,8 @@
   std::size_t HeldBackWorkers_ = 0;
   //! Workers that may still execute a late start.
   std::size_t LateStartWorkers_ = 0;
+  //! Workers that take no starts, as an acknowledgement got no answer.
+  std::size_t LateAcknowledgementWorkers_ = 0;
   std::vector<WaitingTasks> Waiting_ = noWaitingTasks();
 };
 
--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -341,6 +341,8 @@
   //! The same, unless it has arrived; 0 for nothing.
   uint64_t unsentAcknowledgement(const WorkerEntry &Worker) const;
   base::TimePoint lateAcknowledgementUntil(const WorkerEntry &Worker) const;
+  //! An acknowledgement that got no answer keeps starts from the worker.
+  bool mustAwaitAcknowledgement(const WorkerEntry &Worker) const;
   void poll(WorkerEntry &Worker);
   bool needsPoll(const WorkerEntry &Worker) const;
   base::Duration pollWait(const WorkerEntry &Worker) const;
@@ -700,6 +702,7 @@
   uint64_t Starts_ = 0;
   uint64_t RunsEnded_ = 0;
   uint64_t Polls_ = 0;
+  uint64_t AcknowledgingPolls_ = 0;
   uint64_t StartReplies_ = 0;
   base::Duration StartQueueing_{};
   uint64_t Commits_ = 0;
--- a/src/jobs/internal/Placement.cpp
+++ b/src/jobs/internal/Placement.cpp
@@ -70,7 +70,7 @@
 
 bool Coordinator::Impl::isAvailable(const WorkerEntry &Worker) const {
   return Worker.Polled_ && Worker.PollFailures_ == 0 && Worker.InfoConfirmed_ &&
-         now() >= Worker.LateAcknowledgementUntil_ && Worker.RecordDurable_ &&
+         !mustAwaitAcknowledgement(Worker) && Worker.RecordDurable_ &&
          Worker.Registered_ && !Worker.Info_.Draining_ &&
          !Worker.StartsExcluded_ && Worker.Clock_ &&
          DomainsOut_.count(Worker.Info_.Domain_) == 0;
--- a/src/jobs/internal/Polls.cpp
+++ b/src/jobs/internal/Polls.cpp
@@ -86,6 +86,11 @@
                                        Settings_.Times_.MaxRequestDelay_);
 }
 
+bool Coordinator::Impl::mustAwaitAcknowledgement(
+    const WorkerEntry &Worker) const {
+  return now() < Worker.LateAcknowledgementUntil_;
+}
+
 void Coordinator::Impl::poll(WorkerEntry &Worker) {
   if (Superseded_)
     return;
@@ -116,6 +121,8 @@
   Worker.PollAcknowledges_ = Request.AcknowledgedSequence_;
   uint64_t Serial = ++Worker.PollSerial_;
   ++Polls_;
+  if (Request.AcknowledgedSequence_ != 0 && Request.Wait_.count() == 0)
+    ++AcknowledgingPolls_;
   Port_.poll(addressOf(Worker), Request,
              [Weak = weak_from_this(), Id = Worker.Info_.Id_,
               StartTimeMs = Worker.Info_.StartTimeMs_,
--- a/src/jobs/internal/Waits.cpp
+++ b/src/jobs/internal/Waits.cpp
@@ -209,6 +209,7 @@
   int64_t Draining = 0;
   int64_t Unrecorded = 0;
   int64_t ResultsHeldBack = 0;
+  int64_t Unanswered = 0;
   int64_t OnProbation = 0;
   int64_t HeldForOthers = 0;
   int64_t AtStepLimit = 0;
@@ -229,6 +230,7 @@
     Draining += Worker->Info_.Draining_ ? 1 : 0;
     Unrecorded += Worker->Polled_ && !Worker->RecordDurable_ ? 1 : 0;
     ResultsHeldBack += Worker->HeldBackSequence_ != 0 ? 1 : 0;
+    Unanswered += mustAwaitAcknowledgement(*Worker) ? 1 : 0;
     if (!acceptsStarts(*Worker))
       continue;
     ++Suitable;
@@ -277,6 +279,7 @@
        {"draining_workers", Draining},
        {"unrecorded_workers", Unrecorded},
        {"held_back_workers", ResultsHeldBack},
+       {"unanswered_acknowledgements", Unanswered},
        {"suitable_workers", Suitable},
        {"on_probation", OnProbation},
        {"held_for_others", HeldForOthers},
