Visit runs once for slow runs and long waits, and look for tasks of late starts only

While any start was late, each row of each report looked up its task; now only rows of runs with a late start do.

Not measured by itself.

--- a/src/jobs/internal/Impl.h
+++ b/src/jobs/internal/Impl.h
@@ -619,6 +619,8 @@
   std::optional<std::pair<internal::WaitCause, base::Duration>>
   waitOf(const RunEntry &Run) const;
   void noteLongestWaits();
+  //! The same for the task of a run that may not be alive.
+  void noteLongestWait(const RunEntry &Run);
   void logWait(const StepEntry &Step, base::Duration Wait) const;
   void markPollFailure(WorkerEntry &Worker);
   void markReachable(WorkerEntry &Worker);
--- a/src/jobs/internal/LateStarts.cpp
+++ b/src/jobs/internal/LateStarts.cpp
@@ -137,10 +137,12 @@
   if (LateStarts_.empty())
     return;
   const internal::LateStartEntry *Late = findLateStart(Worker.Info_.Id_, Id);
-  TaskEntry *Task = findTask(Id);
-  if (Task == nullptr || Late == nullptr || Late->Run_ != Number ||
+  if (Late == nullptr || Late->Run_ != Number ||
       Late->State_ == LateStartState::Repeated)
     return;
+  TaskEntry *Task = findTask(Id);
+  if (Task == nullptr)
+    return;
   forgetLateStart(Id, *Task, "run-listed");
   // A successor would expect it anew.
   if (isUnfinished(Id))
--- a/src/jobs/internal/Progress.cpp
+++ b/src/jobs/internal/Progress.cpp
@@ -80,9 +80,11 @@
   base::TimePoint Now = now();
   // Sending a stop may remove runs, so they are collected before any is sent.
   std::vector<uint64_t> Due;
-  for (auto &[Serial, Run] : Runs_)
+  for (auto &[Serial, Run] : Runs_) {
+    noteLongestWait(*Run);
     if (isStopDue(*Run, Now) || isStalled(*Run, Now) || isStraggler(*Run, Now))
       Due.push_back(Serial);
+  }
   for (uint64_t Serial : Due)
     if (RunEntry *Run = findRun(Serial)) {
       if (isStopDue(*Run, Now))
--- a/src/jobs/internal/Waits.cpp
+++ b/src/jobs/internal/Waits.cpp
@@ -191,13 +191,15 @@
       WorkMetrics_.recordLongestWait(*Step->Spec_, Cause,
                                      Now - Task.AccountedUntil_);
     }
-  for (const auto &[Serial, Run] : Runs_)
-    if (auto Wait = waitOf(*Run))
-      WorkMetrics_.recordLongestWait(*Run->Step_->Spec_, Wait->first,
-                                     Wait->second);
   WaitsNotedAt_ = Now;
 }
 
+void Coordinator::Impl::noteLongestWait(const RunEntry &Run) {
+  if (auto Wait = waitOf(Run))
+    WorkMetrics_.recordLongestWait(*Run.Step_->Spec_, Wait->first,
+                                   Wait->second);
+}
+
 void Coordinator::Impl::logWait(const StepEntry &Step,
                                 base::Duration Wait) const {
   const StepSpec &Spec = *Step.Spec_;
