Bound the cost of a coordinator with a backlog, long-running tasks and lost requests

The rig takes a load beside its short tasks: long-running tasks on each worker, jobs that no worker has room for, and a share of requests that workers neither carry out nor answer.

--- a/bench/CoordinatorRig.cpp
+++ b/bench/CoordinatorRig.cpp
@@ -23,6 +23,11 @@
 constexpr uint32_t ServingWidth = 14;
 constexpr double BatchJobsPerWorkerSecond = 0.045;
 constexpr int WorkersPerServingJob = 3;
+// More than a long-running task leaves of a worker.
+constexpr int64_t WaitingMilliCpu = 15'900;
+constexpr int64_t WaitingMilliCpuStep = 100;
+constexpr int WaitingSizes = 8;
+constexpr auto LongRunningStartTime = seconds(3);
 
 jobs::CoordinatorSettings settings() {
   jobs::CoordinatorSettings Out;
@@ -42,12 +47,14 @@
   return Seconds(Use.ru_utime) + Seconds(Use.ru_stime);
 }
 
-CoordinatorRig::CoordinatorRig(int Workers)
-    : Fleet_(Workers, RunLength), Random_(Seed),
+CoordinatorRig::CoordinatorRig(int Workers, const CoordinatorLoad &Load)
+    : Fleet_(Workers, RunLength, Load.LostRequests_), Random_(Seed),
       Client_(http::makePooledClient(Loop_)),
       Port_(platform::makeWorkerCalls(*Client_)), Timer_(Loop_),
       Coordinator_(settings(), *Port_, Clock_, Metrics_,
                    [this](const jobs::CommitBatch &Batch) { commit(Batch); }),
+      WaitingJobs_(Load.WaitingJobs_),
+      WaitingJobsAt_(Clock_.now() + LongRunningStartTime),
       JobsPerSecond_(BatchJobsPerWorkerSecond * Workers),
       NextJob_(Clock_.now() + seconds(1)) {
   jobs::FleetConfig Config;
@@ -63,6 +70,8 @@
   Coordinator_.recover();
   for (int I = 0; I < Workers / WorkersPerServingJob / 2; ++I)
     submit(servingJob());
+  for (int I = 0; I < Load.LongRunningTasks_; ++I)
+    submit(longRunningJob(Workers), LongRunningJobPrefix);
   tick();
 }
 
@@ -76,6 +85,8 @@
   for (; NextJob_ <= Now;
        NextJob_ += milliseconds(static_cast<int>(1000 / JobsPerSecond_)))
     submit(batchJob());
+  for (; Now >= WaitingJobsAt_ && WaitingJobs_ > 0; --WaitingJobs_)
+    submit(waitingJob(WaitingJobs_));
   Coordinator_.confirmTerm(Now, StoreRevision);
   Coordinator_.tick();
   Timer_.expires_after(Tick);
@@ -92,8 +103,8 @@
   });
 }
 
-void CoordinatorRig::submit(jobs::JobSpec Spec) {
-  Coordinator_.addJob("job" + std::to_string(NextId_++),
+void CoordinatorRig::submit(jobs::JobSpec Spec, std::string_view Prefix) {
+  Coordinator_.addJob(std::string(Prefix) + std::to_string(NextId_++),
                       {"queue", std::move(Spec), Clock_.wallNow(), ""},
                       StoreRevision);
 }
@@ -128,4 +139,29 @@
   return Out;
 }
 
+jobs::JobSpec CoordinatorRig::longRunningJob(int Workers) {
+  jobs::JobSpec Out;
+  jobs::StepSpec Step;
+  Step.Count_ = static_cast<uint32_t>(Workers);
+  Step.MaxPerWorker_ = 1;
+  Step.Request_ = {1000, 2000, 0};
+  Step.EstimatedDuration_ = RunLength;
+  Step.LongRunning_ = true;
+  Out.Steps_.push_back(Step);
+  return Out;
+}
+
+// Not tried in a pass are steps as large as one that found no worker, so the
+// smaller ones come later.
+jobs::JobSpec CoordinatorRig::waitingJob(int Number) {
+  jobs::JobSpec Out;
+  jobs::StepSpec Step;
+  Step.Request_ = {WaitingMilliCpu - WaitingMilliCpuStep *
+                                         (WaitingSizes - Number % WaitingSizes),
+                   2000, 0};
+  Step.EstimatedDuration_ = RunLength;
+  Out.Steps_.push_back(Step);
+  return Out;
+}
+
 } // namespace crocuslead::bench
--- a/bench/PlatformWorkers.cpp
+++ b/bench/PlatformWorkers.cpp
@@ -1,5 +1,7 @@
 #include "PlatformWorkers.h"
 
+#include "Figures.h"
+
 #include <asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <deque>
@@ -25,8 +27,10 @@
     std::unique_ptr<asio::steady_timer> Timer_;
   };
 
-  Worker(asio::io_context &Loop, base::Duration RunLength)
-      : Loop_(Loop), RunLength_(RunLength), LookTimer_(Loop),
+  Worker(asio::io_context &Loop, base::Random &Random, base::Duration RunLength,
+         double LostRequests)
+      : Loop_(Loop), Random_(Random), RunLength_(RunLength),
+        LostRequests_(LostRequests), LookTimer_(Loop),
         Born_(std::chrono::steady_clock::now()) {}
 
   int64_t clockMs() const {
@@ -37,6 +41,10 @@
 
   void handle(const http::Request &Request,
               const std::shared_ptr<http::Responder> &Out) {
+    if (Random_.unit() < LostRequests_) {
+      Unanswered_.push_back(Out);
+      return;
+    }
     json Body = json::parse(Request.Body_, nullptr, false);
     if (Request.Target_ == "/crocuslead/run-start")
       start(Body);
@@ -52,6 +60,8 @@
     Run &Made = Runs_[Name];
     Made.Number_ = Body["run"].get<uint64_t>();
     Made.Start_ = std::chrono::steady_clock::now();
+    if (Name.compare(0, LongRunningJobPrefix.size(), LongRunningJobPrefix) == 0)
+      return;
     Made.Timer_ = std::make_unique<asio::steady_timer>(Loop_, RunLength_);
     Made.Timer_->async_wait([this, Name](const asio::error_code &Failure) {
       if (!Failure)
@@ -90,8 +100,8 @@
     auto Now = std::chrono::steady_clock::now();
     for (const auto &[Name, Each] : Runs_) {
       auto Percent = static_cast<int>(99 * (Now - Each.Start_) / RunLength_);
-      Running.push_back(
-          json::array({Name, Each.Number_, "", std::min(99, Percent), 500}));
+      Percent = Each.Timer_ ? std::min(99, Percent) : 100;
+      Running.push_back(json::array({Name, Each.Number_, "", Percent, 500}));
     }
     answer(std::exchange(Looking_, nullptr), {{"clock_ms", clockMs()},
                                               {"born", StartTimeMs},
@@ -105,7 +115,9 @@
   }
 
   asio::io_context &Loop_;
+  base::Random &Random_;
   base::Duration RunLength_;
+  double LostRequests_;
   asio::steady_timer LookTimer_;
   std::chrono::steady_clock::time_point Born_;
   std::unique_ptr<http::Server> Server_;
@@ -113,11 +125,15 @@
   std::deque<json> Ended_;
   uint64_t LastEnd_ = 0;
   std::shared_ptr<http::Responder> Looking_;
+  std::vector<std::shared_ptr<http::Responder>> Unanswered_;
 };
 
-PlatformWorkers::PlatformWorkers(int Count, base::Duration RunLength) {
+PlatformWorkers::PlatformWorkers(int Count, base::Duration RunLength,
+                                 double LostRequests)
+    : Random_(Seed) {
   for (int I = 0; I < Count; ++I) {
-    Workers_.push_back(std::make_unique<Worker>(Loop_, RunLength));
+    Workers_.push_back(
+        std::make_unique<Worker>(Loop_, Random_, RunLength, LostRequests));
     Worker &Made = *Workers_.back();
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
